--- /dev/null
+++ b/src/aspenfold/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Everything behind the command line; not a public interface."""
--- /dev/null
+++ b/src/aspenfold/_internal/admission/lanes.py
@@ -0,0 +1,54 @@
+"""Priority lanes with reserved room, and deadline-aware refusal."""
+
+import datetime
+
+from aspenfold._internal.admission import policy
+from aspenfold._internal import exceptions
+from aspenfold._internal.kernel import registry
+from aspenfold._internal.models import fleet
+
+LANE_BOUND: dict[fleet.Priority, float] = {
+    fleet.Priority.INTERACTIVE: 3.0,
+    fleet.Priority.GENERATION: 1.2,
+    fleet.Priority.BATCH: 0.8,
+}
+"""Mean pressure above which a lane is closed; the room between a lane's
+bound and the next is reserved for the lanes above it."""
+
+MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
+MAX_RETRY_AFTER = datetime.timedelta(seconds=30)
+
+
+@registry.register(policy.KIND, 'lanes')
+class Lanes:
+    """Closes lanes from the least urgent up as pressure grows."""
+
+    def refuse(
+        self,
+        priority: fleet.Priority,
+        remaining: datetime.timedelta,
+        pressure: policy.Pressure,
+    ) -> exceptions.Failure | None:
+        """Refuse for a closed lane or a wait beyond the deadline."""
+        if pressure.mean >= LANE_BOUND[priority]:
+            return _overloaded(f'the {priority.value} lane is full', pressure)
+        if _estimated_wait(pressure) >= remaining:
+            return _overloaded(
+                'the estimated wait passes the deadline', pressure
+            )
+        return None
+
+
+def _estimated_wait(pressure: policy.Pressure) -> datetime.timedelta:
+    queued = max(0.0, pressure.mean - 1.0)
+    return pressure.service_time * queued
+
+
+def _overloaded(detail: str, pressure: policy.Pressure) -> exceptions.Failure:
+    wait = _estimated_wait(pressure)
+    return exceptions.Failure(
+        code=exceptions.Code.OVERLOADED,
+        detail=detail,
+        remedy='come back after Retry-After, or allow a longer deadline',
+        retry_after=min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait)),
+    )
--- /dev/null
+++ b/src/aspenfold/_internal/admission/limiter.py
@@ -0,0 +1,109 @@
+"""Limits of organisations, held over all entries without a coordinator.
+
+Each entry holds a share of every organisation's limit.  Shares add up
+to at most one, so the limit holds whatever the entries see.
+"""
+
+import dataclasses
+import datetime
+
+from aspenfold._internal import exceptions
+from aspenfold._internal.models import fleet
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+class TokenBucket:
+    """A rate with a burst; refilled by the time that is passed in."""
+
+    def __init__(
+        self, *, rate: float, burst: float, now: datetime.datetime
+    ) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._updated = now
+
+    def set_rate(self, rate: float, burst: float) -> None:
+        """Change the rate; what is saved above the new burst is lost."""
+        self._rate = rate
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
+    def take(self, now: datetime.datetime) -> datetime.timedelta | None:
+        """Take a token: None if there was one, else the wait for it."""
+        elapsed = max(0.0, (now - self._updated) / SECOND)
+        self._updated = max(now, self._updated)
+        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
+        if self._tokens >= 1:
+            self._tokens -= 1
+            return None
+        return SECOND * ((1 - self._tokens) / self._rate)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Usage:
+    bucket: TokenBucket
+    limits: fleet.Limits
+    share: float
+    in_flight: int = 0
+
+
+class Limiter:
+    """Rate and in-flight limits of every organisation at this entry."""
+
+    def __init__(self) -> None:
+        self._usage: dict[str, _Usage] = {}
+        self._share = 1.0
+
+    def set_share(self, share: float) -> None:
+        """Set this entry's share of every limit, in (0, 1]."""
+        self._share = share
+
+    def admit(
+        self, organisation: fleet.Organisation, now: datetime.datetime
+    ) -> exceptions.Failure | None:
+        """Count a request, or return why it is refused."""
+        usage = self._usage_of(organisation, now)
+        allowed = max(1, int(usage.limits.in_flight * usage.share))
+        if usage.in_flight >= allowed:
+            return exceptions.Failure(
+                code=exceptions.Code.TOO_MANY_IN_FLIGHT,
+                detail=f'{organisation.name} has {usage.in_flight} requests '
+                'in flight here',
+                remedy='wait for answers, or ask for a higher limit',
+                retry_after=SECOND,
+            )
+        wait = usage.bucket.take(now)
+        if wait is not None:
+            return exceptions.Failure(
+                code=exceptions.Code.RATE_LIMITED,
+                detail=f'{organisation.name} is over its rate',
+                remedy='slow down, or ask for a higher limit',
+                retry_after=wait,
+            )
+        usage.in_flight += 1
+        return None
+
+    def release(self, organisation: str) -> None:
+        """A request that was admitted has ended."""
+        usage = self._usage.get(organisation)
+        if usage is not None and usage.in_flight > 0:
+            usage.in_flight -= 1
+
+    def _usage_of(
+        self, organisation: fleet.Organisation, now: datetime.datetime
+    ) -> _Usage:
+        usage = self._usage.get(organisation.name)
+        limits = organisation.limits
+        rate = limits.requests_per_second * self._share
+        burst = max(1.0, limits.burst * self._share)
+        if usage is None:
+            bucket = TokenBucket(rate=rate, burst=burst, now=now)
+            usage = _Usage(bucket=bucket, limits=limits, share=self._share)
+            self._usage[organisation.name] = usage
+        elif usage.limits != limits or usage.share != self._share:
+            usage.limits = limits
+            usage.share = self._share
+            usage.bucket.set_rate(rate, burst)
+        return usage
--- /dev/null
+++ b/src/aspenfold/_internal/attempts/kernel.py
@@ -0,0 +1,411 @@
+"""The agent's decisions: run, attach, tombstone, refuse, drain.
+
+An attempt is *sealed* when this incarnation has promised never to run
+it.  It is sealed before anyone is told "not run", which is why that
+answer stays true when the attempt's own message arrives later.
+"""
+
+import collections
+import dataclasses
+import datetime
+
+from aspenfold._internal.attempts import actions
+from aspenfold._internal.attempts import attempt as attempt_module
+from aspenfold._internal import exceptions
+from aspenfold._internal.kernel import frames
+
+KEEP = datetime.timedelta(hours=1)
+"""How long past its deadline an attempt is remembered."""
+
+QUEUE_FACTOR = 4
+"""Attempts accepted, as a multiple of what the endpoint runs at once."""
+
+State = attempt_module.State
+Code = exceptions.Code
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Joiner:
+    """A leg that waits for an attempt to arrive."""
+
+    leg: int
+    request: frames.AttemptRequest
+    until: datetime.datetime
+
+
+class AgentKernel:
+    """All attempts of one incarnation; typed calls in, actions out."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        capacity: int,
+        answer_memory: int,
+    ) -> None:
+        self.incarnation = incarnation
+        self.draining = False
+        self.drain_token = 0
+        self._leaving = False
+        self._capacity = capacity
+        self._answer_memory = answer_memory
+        self._answer_bytes = 0
+        self._attempts: dict[str, attempt_module.Attempt] = {}
+        self._finished: collections.deque[str] = collections.deque()
+        self._by_deadline: collections.deque[str] = collections.deque()
+        self._joiners: list[_Joiner] = []
+        self._legs: dict[int, str] = {}
+        self._running = 0
+        self._now: datetime.datetime | None = None
+
+    @property
+    def load(self) -> frames.Load:
+        """The load that rides on every frame and report."""
+        return frames.Load(
+            running=min(self._running, self._capacity),
+            waiting=max(0, self._running - self._capacity),
+            capacity=self._capacity,
+            draining=self.draining,
+        )
+
+    @property
+    def running(self) -> int:
+        """Attempts that the endpoint has and has not finished."""
+        return self._running
+
+    @property
+    def open_legs(self) -> int:
+        """Legs on which a caller still waits."""
+        return len(self._legs) + len(self._joiners)
+
+    # -- from entries ----------------------------------------------------
+
+    def execute(
+        self, leg: int, request: frames.AttemptRequest, now: datetime.datetime
+    ) -> list[actions.Action]:
+        """Take an attempt, or a question about one."""
+        now = self._advance(now)
+        if request.incarnation != self.incarnation:
+            return self._refuse(
+                leg,
+                request,
+                Code.INCARNATION_GONE,
+                f'this is incarnation {self.incarnation}',
+            )
+        known = self._attempts.get(request.attempt_id)
+        if known is not None:
+            return self._attach(leg, request, known)
+        if request.deadline + KEEP < now:
+            # It may have been forgotten, so its fate cannot be told.
+            return self._refuse(
+                leg, request, Code.FATE_UNKNOWN, 'the attempt is too old'
+            )
+        if request.mode is frames.Mode.JOIN:
+            return self._join(leg, request, now)
+        return self._run(leg, request, now)
+
+    def leg_closed(self, leg: int) -> list[actions.Action]:
+        """The reader of ``leg`` went away."""
+        self._joiners = [j for j in self._joiners if j.leg != leg]
+        attempt_id = self._legs.pop(leg, None)
+        if attempt_id is not None:
+            self._attempts[attempt_id].legs.pop(leg, None)
+        return []
+
+    def cancel(self, attempt_id: str) -> list[actions.Action]:
+        """The caller went away; only repeatable work is stopped."""
+        known = self._attempts.get(attempt_id)
+        if known is None or known.state is not State.RUNNING:
+            return []
+        if not known.repeatable or known.legs:
+            return []
+        return [actions.CancelEndpoint(attempt_id=attempt_id)]
+
+    def drain(self, token: int) -> None:
+        """Refuse new work from now on; ``token`` fences old orders."""
+        if token < self.drain_token:
+            return
+        self.draining = True
+        self.drain_token = token
+
+    def undrain(self, token: int) -> None:
+        """Take new work again, unless a later drain order is known."""
+        if token > self.drain_token and not self._leaving:
+            self.draining = False
+            self.drain_token = token
+
+    def leave(self) -> None:
+        """The host goes away: drain, and never take work again."""
+        self.draining = True
+        self._leaving = True
+
+    # -- from the endpoint -----------------------------------------------
+
+    def endpoint_head(
+        self, attempt_id: str, head: frames.Head
+    ) -> list[actions.Action]:
+        """The endpoint began to answer."""
+        known = self._attempts[attempt_id]
+        if known.state is not State.RUNNING:
+            return []
+        known.head = head
+        return [self._send(leg, known, head) for leg in known.legs]
+
+    def endpoint_items(
+        self, attempt_id: str, items: tuple[bytes, ...]
+    ) -> list[actions.Action]:
+        """The endpoint gave the next items of its answer."""
+        known = self._attempts[attempt_id]
+        if known.state is not State.RUNNING:
+            return []
+        known.add(items)
+        result: list[actions.Action] = []
+        for leg in known.legs:
+            result.extend(self._catch_up(leg, known))
+        return result
+
+    def endpoint_ended(
+        self, attempt_id: str, now: datetime.datetime
+    ) -> list[actions.Action]:
+        """The endpoint's answer is whole."""
+        known = self._attempts[attempt_id]
+        if known.state is not State.RUNNING:
+            return []
+        known.state = State.DONE
+        self._finish(known)
+        return self._end_legs(known, known.end())
+
+    def endpoint_failed(
+        self, attempt_id: str, failure: exceptions.Failure
+    ) -> list[actions.Action]:
+        """The endpoint gave no whole answer; ``failure`` tells its fate."""
+        known = self._attempts[attempt_id]
+        if known.state is not State.RUNNING:
+            return []
+        known.state = State.FAILED
+        known.failure = failure
+        if failure.outcome is exceptions.Outcome.NOT_RUN:
+            known.state = State.SEALED
+        self._finish(known)
+        return self._end_legs(known, frames.Refused(failure=failure))
+
+    # -- time ------------------------------------------------------------
+
+    def tick(self, now: datetime.datetime) -> list[actions.Action]:
+        """Seal attempts whose joiners waited long enough; forget old ones."""
+        now = self._advance(now)
+        due = [j for j in self._joiners if j.until <= now]
+        self._joiners = [j for j in self._joiners if j.until > now]
+        result: list[actions.Action] = []
+        for joiner in due:
+            if joiner.request.attempt_id not in self._attempts:
+                self._seal(joiner.request)
+            known = self._attempts[joiner.request.attempt_id]
+            result.extend(self._attach(joiner.leg, joiner.request, known))
+        self._forget(now)
+        return result
+
+    def cut_all(self, failure: exceptions.Failure) -> list[actions.Action]:
+        """The drain limit passed: end every running attempt in a code."""
+        result: list[actions.Action] = []
+        for known in list(self._attempts.values()):
+            if known.state is State.RUNNING:
+                result.append(
+                    actions.CancelEndpoint(attempt_id=known.attempt_id)
+                )
+                result.extend(self.endpoint_failed(known.attempt_id, failure))
+        return result
+
+    # -- parts -----------------------------------------------------------
+
+    def _advance(self, now: datetime.datetime) -> datetime.datetime:
+        # Forgetting rests on this clock not going back.
+        self._now = max(now, self._now or now)
+        return self._now
+
+    def _run(
+        self, leg: int, request: frames.AttemptRequest, now: datetime.datetime
+    ) -> list[actions.Action]:
+        refusal = self._reason_to_refuse(request, now)
+        if refusal is not None:
+            self._seal(request)
+            return self._refuse(leg, request, refusal, '')
+        known = self._remember(request, State.RUNNING)
+        self._running += 1
+        result: list[actions.Action] = [actions.CallEndpoint(request=request)]
+        result.extend(self._attach(leg, request, known))
+        result.extend(self._attach_joiners(known))
+        return result
+
+    def _reason_to_refuse(
+        self, request: frames.AttemptRequest, now: datetime.datetime
+    ) -> Code | None:
+        if self.draining:
+            return Code.DRAINING
+        if request.deadline <= now:
+            return Code.DEADLINE_PASSED
+        if self._running >= self._capacity * QUEUE_FACTOR:
+            return Code.OVERLOADED
+        return None
+
+    def _join(
+        self, leg: int, request: frames.AttemptRequest, now: datetime.datetime
+    ) -> list[actions.Action]:
+        if request.join_wait:
+            self._joiners.append(
+                _Joiner(
+                    leg=leg, request=request, until=now + request.join_wait
+                )
+            )
+            return []
+        known = self._seal(request)
+        return self._attach(leg, request, known)
+
+    def _seal(self, request: frames.AttemptRequest) -> attempt_module.Attempt:
+        known = self._remember(request, State.SEALED)
+        known.failure = exceptions.Failure(
+            code=Code.SEALED,
+            detail='the attempt did not run and never will',
+        )
+        return known
+
+    def _remember(
+        self, request: frames.AttemptRequest, state: State
+    ) -> attempt_module.Attempt:
+        known = attempt_module.Attempt(
+            attempt_id=request.attempt_id,
+            digest=request.digest,
+            repeatable=request.repeatable,
+            deadline=request.deadline,
+            resume_from=request.resume_from,
+            state=state,
+        )
+        self._attempts[request.attempt_id] = known
+        self._by_deadline.append(request.attempt_id)
+        return known
+
+    def _attach_joiners(
+        self, known: attempt_module.Attempt
+    ) -> list[actions.Action]:
+        result: list[actions.Action] = []
+        for joiner in self._joiners:
+            if joiner.request.attempt_id == known.attempt_id:
+                result.extend(self._attach(joiner.leg, joiner.request, known))
+        self._joiners = [
+            j
+            for j in self._joiners
+            if j.request.attempt_id != known.attempt_id
+        ]
+        return result
+
+    def _attach(
+        self,
+        leg: int,
+        request: frames.AttemptRequest,
+        known: attempt_module.Attempt,
+    ) -> list[actions.Action]:
+        if known.state is State.SEALED:
+            assert known.failure is not None
+            return self._refuse(
+                leg, request, known.failure.code, known.failure.detail
+            )
+        if known.digest != request.digest:
+            return self._refuse(
+                leg, request, Code.KEY_REUSED, 'the content differs'
+            )
+        if known.state is State.FAILED:
+            assert known.failure is not None
+            return self._refuse(
+                leg, request, known.failure.code, known.failure.detail
+            )
+        if (
+            known.state is State.DROPPED
+            or request.next_item < known.resume_from
+        ):
+            return self._refuse(
+                leg, request, Code.ANSWER_EXPIRED, 'it ran; its answer is gone'
+            )
+        known.legs[leg] = request.next_item
+        self._legs[leg] = known.attempt_id
+        result: list[actions.Action] = []
+        if known.head is not None:
+            result.append(self._send(leg, known, known.head))
+        result.extend(self._catch_up(leg, known))
+        if known.state is State.DONE:
+            result.extend(self._end_legs(known, known.end()))
+        return result
+
+    def _catch_up(
+        self, leg: int, known: attempt_module.Attempt
+    ) -> list[actions.Action]:
+        first = known.legs[leg]
+        items = known.since(first)
+        if not items:
+            return []
+        known.legs[leg] = known.next_item
+        body = frames.Items(first=first, items=items)
+        return [self._send(leg, known, body)]
+
+    def _end_legs(
+        self, known: attempt_module.Attempt, body: frames.Body
+    ) -> list[actions.Action]:
+        result: list[actions.Action] = []
+        for leg in known.legs:
+            self._legs.pop(leg, None)
+            result.append(self._send(leg, known, body))
+            result.append(actions.CloseLeg(leg=leg))
+        known.legs.clear()
+        return result
+
+    def _send(
+        self, leg: int, known: attempt_module.Attempt, body: frames.Body
+    ) -> actions.Send:
+        frame = frames.Frame(
+            attempt_id=known.attempt_id, load=self.load, body=body
+        )
+        return actions.Send(leg=leg, frame=frame)
+
+    def _refuse(
+        self,
+        leg: int,
+        request: frames.AttemptRequest,
+        code: Code,
+        detail: str,
+    ) -> list[actions.Action]:
+        failure = exceptions.Failure(
+            code=code, detail=detail or code.name.lower().replace('_', ' ')
+        )
+        frame = frames.Frame(
+            attempt_id=request.attempt_id,
+            load=self.load,
+            body=frames.Refused(failure=failure),
+        )
+        return [
+            actions.Send(leg=leg, frame=frame),
+            actions.CloseLeg(leg=leg),
+        ]
+
+    def _finish(self, known: attempt_module.Attempt) -> None:
+        self._running -= 1
+        if known.state is not State.DONE:
+            known.items.clear()
+            known.size = 0
+        self._answer_bytes += known.size
+        self._finished.append(known.attempt_id)
+        while self._answer_bytes > self._answer_memory and self._finished:
+            oldest = self._attempts.get(self._finished.popleft())
+            if oldest is not None and not oldest.legs:
+                self._answer_bytes -= oldest.size
+                if oldest.state is State.DONE:
+                    oldest.drop_answer()
+
+    def _forget(self, now: datetime.datetime) -> None:
+        # Deadlines are not quite in order; one that blocks the front
+        # only delays forgetting.
+        while self._by_deadline:
+            known = self._attempts[self._by_deadline[0]]
+            if known.state is State.RUNNING or known.deadline + KEEP >= now:
+                return
+            self._by_deadline.popleft()
+            self._answer_bytes -= known.size
+            del self._attempts[known.attempt_id]
--- /dev/null
+++ b/src/aspenfold/_internal/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a call at an entry host; no I/O here."""
--- /dev/null
+++ b/src/aspenfold/_internal/claims/fold.py
@@ -0,0 +1,108 @@
+"""Folds claim streams: the first valid claim of a key holds it.
+
+A key is scoped by its organisation and hashed to one stream, so that
+all claims of a key stand on one stream in one order.  The fold needs
+every record within the key window: a reader that finds the stream
+trimmed says so, and keys cannot be judged until the window has passed.
+"""
+
+import collections
+import dataclasses
+import datetime
+
+import xxhash
+
+from aspenfold._internal.configuration import reader
+from aspenfold._internal.models import records
+
+
+def scoped_key(organisation: str, key: str) -> str:
+    """Return the key as it stands in a claim; hides the caller's text."""
+    return xxhash.xxh3_128_hexdigest(f'{organisation}\0{key}'.encode())
+
+
+def stream_of(scoped: str, streams: int) -> str:
+    """Return the claim stream that decides ``scoped``."""
+    return records.claim_stream(int(scoped[:8], 16) % streams)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Holder:
+    """The valid claim of a key, its offset and its writer's time."""
+
+    claim: records.Claim
+    offset: int
+    at: datetime.datetime
+
+
+class ClaimFold:
+    """The holders of the keys of one stream, newest window only."""
+
+    def __init__(self, *, window: datetime.timedelta) -> None:
+        self._window = window
+        self._holders: collections.OrderedDict[str, Holder] = (
+            collections.OrderedDict()
+        )
+        self._judgeable_from: datetime.datetime | None = None
+        self._latest: datetime.datetime | None = None
+        self.position = 1
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def judgeable(self, now: datetime.datetime) -> bool:
+        """Return whether every claim of the window has been seen."""
+        return self._judgeable_from is None or now >= self._judgeable_from
+
+    def holder(self, key: str) -> 'Holder | None':
+        """Return the claim that holds ``key`` and where it stands."""
+        return self._holders.get(key)
+
+    def feed(self, page: reader.Page, now: datetime.datetime) -> set[str]:
+        """Fold a page read from :attr:`position`; return the keys seen."""
+        self._note_trimmed(page, now)
+        seen: set[str] = set()
+        for record in page.records:
+            if record.offset < self.position:
+                continue
+            self.position = record.offset + 1
+            batch = records.ClaimBatch.model_validate(record.body)
+            self._advance(batch.at)
+            for claim in batch.claims:
+                self._fold(claim, record.offset, batch.at)
+                seen.add(claim.key)
+        return seen
+
+    def _note_trimmed(self, page: reader.Page, now: datetime.datetime) -> None:
+        if page.first <= self.position:
+            return
+        fresh = self.position == 1
+        self.position = page.first
+        if fresh and page.records:
+            # A fresh reader of a log whose retention exceeds the window
+            # misses only keys that are forgotten anyway.
+            oldest = records.ClaimBatch.model_validate(page.records[0].body)
+            if oldest.at <= now - self._window:
+                return
+        self._judgeable_from = now + self._window
+
+    def _fold(
+        self, claim: records.Claim, offset: int, at: datetime.datetime
+    ) -> None:
+        holder = self._holders.get(claim.key)
+        held_by = holder.claim.attempt_id if holder else ''
+        if claim.supersedes != held_by:
+            return
+        self._holders[claim.key] = Holder(claim=claim, offset=offset, at=at)
+        self._holders.move_to_end(claim.key)
+
+    def _advance(self, at: datetime.datetime) -> None:
+        # Keys are forgotten by the times in the stream and not by the
+        # reader's clock: two readers that differed on whether a key is
+        # free would both accept a claim of their own.
+        self._latest = max(self._latest or at, at)
+        while self._holders:
+            key, oldest = next(iter(self._holders.items()))
+            if oldest.at > self._latest - self._window:
+                return
+            del self._holders[key]
--- /dev/null
+++ b/src/aspenfold/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands: each parses, calls the core and returns an exit status."""
--- /dev/null
+++ b/src/aspenfold/_internal/commands/apply.py
@@ -0,0 +1,172 @@
+"""``aspenfold apply``: puts a whole fleet in force."""
+
+import datetime
+import sys
+import time
+import typing
+
+from aspenfold._internal.commands import changes
+from aspenfold._internal.commands import exits
+from aspenfold._internal.commands import output
+from aspenfold._internal.commands import platform as platform_module
+from aspenfold._internal.configuration import fold
+from aspenfold._internal.configuration import patch
+from aspenfold._internal import exceptions
+from aspenfold._internal.models import base
+from aspenfold._internal.models import fleet as fleet_model
+from aspenfold._internal.models import records
+
+POLL = datetime.timedelta(milliseconds=200)
+
+
+def load_fleet(path: str) -> patch.Document:
+    """Read and validate a fleet file; return its canonical document."""
+    fleet = base.load_model(
+        path, fleet_model.Fleet, code=exceptions.Code.CONFIG_INVALID
+    )
+    return fleet.model_dump(mode='json')
+
+
+class ApplyCommand:
+    """Appends the change, then waits until it is in force everywhere."""
+
+    def __init__(self, *, platform: platform_module.Platform) -> None:
+        self._platform = platform
+
+    def run(
+        self,
+        path: str,
+        *,
+        base_version: int | None,
+        reason: str,
+        wait: datetime.timedelta,
+        as_json: bool,
+    ) -> exits.Exit:
+        """Apply the fleet file at ``path``."""
+        document = load_fleet(path)
+        state = self._platform.state
+        self._platform.catch_up()
+        state = self._platform.state
+        if base_version is not None and base_version != state.version:
+            self._conflict(base_version)
+        steps = patch.diff(state.document, document)
+        if not steps:
+            output.show(
+                [{'result': 'no change', 'version': state.version}],
+                as_json=as_json,
+            )
+            return exits.Exit.OK
+        version = self._append(document, steps, reason)
+        return self._wait(version, wait, as_json)
+
+    def _append(
+        self,
+        document: patch.Document,
+        steps: list[dict[str, typing.Any]],
+        reason: str,
+    ) -> int:
+        base_version = self._platform.state.version
+        record = records.ConfigChange(
+            **self._platform.header(),
+            base_version=base_version,
+            digest=patch.digest(document),
+            patch=steps,
+            reason=reason,
+        )
+        judged = self._platform.append(record)
+        if judged.verdict is fold.Verdict.ACCEPTED:
+            return judged.record.offset
+        if judged.verdict is fold.Verdict.CONFLICT:
+            self._conflict(base_version)
+        raise exceptions.ConfigError(
+            exceptions.Failure(
+                code=exceptions.Code.CONFIG_DIGEST,
+                detail=f'the log judged the change {judged.verdict.value}',
+                remedy='check that all programs are of one version',
+            )
+        )
+
+    def _conflict(self, base_version: int) -> typing.NoReturn:
+        """Raise the conflict with what others changed since the base."""
+        platform = self._platform
+        lines = []
+        for record in platform.read_records():
+            body = record.body
+            if body.get('type') != 'config':
+                continue
+            if record.offset <= base_version:
+                continue
+            if record.offset <= platform.state.version:
+                paths = ', '.join(s['path'] for s in body['patch'])
+                lines.append(
+                    f'version {record.offset} by {body["author"]}: {paths}'
+                )
+        raise exceptions.ConfigError(
+            exceptions.Failure(
+                code=exceptions.Code.CONFIG_CONFLICT,
+                detail=f'version {base_version} is no longer in force, '
+                f'version {platform.state.version} is; ' + '; '.join(lines),
+                field='base_version',
+                remedy='run "aspenfold diff" on your file, merge the '
+                'change, and apply again',
+            )
+        )
+
+    def _wait(
+        self, version: int, wait: datetime.timedelta, as_json: bool
+    ) -> exits.Exit:
+        clock = self._platform.clock
+        began = clock.now()
+        until = began + wait
+        while True:
+            rows = self._versions(version)
+            behind = [row for row in rows if not row['in force']]
+            if not behind or clock.now() >= until:
+                break
+            _progress(len(rows) - len(behind), len(rows))
+            time.sleep(POLL.total_seconds())
+        output.show(rows, as_json=as_json)
+        if behind:
+            names = ', '.join(str(row['entry']) for row in behind)
+            print(
+                f'accepted as version {version}, which will not revert, '
+                f'but not yet in force on: {names}',
+                file=sys.stderr,
+            )
+            return exits.Exit.NOT_IN_FORCE
+        return exits.Exit.OK
+
+    def _versions(self, version: int) -> list[dict[str, typing.Any]]:
+        rows: list[dict[str, typing.Any]] = []
+        for host in self._platform.entries():
+            status = self._platform.status(host)
+            running = status['version'] if status else None
+            rows.append(
+                {
+                    'entry': host.name,
+                    'availability_zone': host.availability_zone,
+                    'version': running,
+                    'in force': running is not None and running >= version,
+                }
+            )
+        return rows
+
+
+def _progress(done: int, total: int) -> None:
+    if sys.stderr.isatty():
+        print(f'in force on {done} of {total}', end='\r', file=sys.stderr)
+
+
+class DiffCommand:
+    """Shows what an apply would change."""
+
+    def __init__(self, *, platform: platform_module.Platform) -> None:
+        self._platform = platform
+
+    def run(self, path: str, *, as_json: bool) -> exits.Exit:
+        """Compare the fleet file at ``path`` with what is in force."""
+        document = load_fleet(path)
+        self._platform.catch_up()
+        rows = changes.rows(self._platform.state.document, document)
+        output.show(rows, as_json=as_json)
+        return exits.Exit.OK
--- /dev/null
+++ b/src/aspenfold/_internal/commands/serve.py
@@ -0,0 +1,28 @@
+"""Starts a server program from its settings file."""
+
+from collections import abc
+import sys
+import typing
+
+import fire
+
+from aspenfold._internal.commands import exits
+from aspenfold._internal.models import base
+from aspenfold._internal.models import settings as settings_module
+
+S = typing.TypeVar('S', bound=base.Model)
+
+
+def main(program: str, cls: type[S], run: abc.Callable[[S], None]) -> None:
+    """Read the settings that the command line names, and serve."""
+
+    def command(settings: str) -> None:
+        """Serve with the JSON file SETTINGS until SIGTERM."""
+
+        def work() -> exits.Exit:
+            run(settings_module.load(settings, cls))
+            return exits.Exit.OK
+
+        sys.exit(exits.run(work))
+
+    fire.Fire(command, name=program)
--- /dev/null
+++ b/src/aspenfold/_internal/configuration/fold.py
@@ -0,0 +1,117 @@
+"""The rules by which every reader judges the fleet stream alike.
+
+A record is judged only by the records before it, never by a clock, so
+that all readers come to the same verdict at the same offset.
+"""
+
+import enum
+import typing
+
+import pydantic
+
+from aspenfold._internal.configuration import patch
+from aspenfold._internal.configuration import state as state_module
+from aspenfold._internal.models import fleet as fleet_model
+from aspenfold._internal.models import records
+
+
+class Verdict(enum.StrEnum):
+    """What a reader decided on a record."""
+
+    ACCEPTED = 'accepted'
+    CONFLICT = 'conflict'
+    BAD_DIGEST = 'bad-digest'
+    INVALID = 'invalid'
+    STALE_TOKEN = 'stale-token'
+    NO_CHANGE = 'no-change'
+
+
+MAP_LEASE = 'map/'
+"""Prefix of the lease under which a group's maps are planned."""
+
+SNAPSHOT_LEASE = 'snapshot'
+
+
+def fold(
+    state: state_module.FleetState, offset: int, body: dict[str, typing.Any]
+) -> Verdict:
+    """Apply the record at ``offset`` to ``state`` and return the verdict."""
+    state.next_offset = offset + 1
+    try:
+        record = records.fleet_adapter.validate_python(body)
+    except pydantic.ValidationError:
+        return Verdict.INVALID
+    match record:
+        case records.ConfigChange():
+            return _fold_config(state, offset, record)
+        case records.LeaseGrant():
+            return _fold_lease(state, offset, record)
+        case records.MembershipChange():
+            return _fold_membership(state, offset, record)
+        case records.MapPlan():
+            return _fold_map(state, offset, record)
+        case records.Snapshot():
+            return Verdict.ACCEPTED
+
+
+def _fold_config(
+    state: state_module.FleetState,
+    offset: int,
+    record: records.ConfigChange,
+) -> Verdict:
+    if record.base_version != state.version:
+        return Verdict.CONFLICT
+    document = patch.apply(state.document, record.patch)
+    if document is None or patch.digest(document) != record.digest:
+        return Verdict.BAD_DIGEST
+    try:
+        fleet_model.Fleet.model_validate(document)
+    except pydantic.ValidationError:
+        return Verdict.INVALID
+    state.set_document(offset, document)
+    return Verdict.ACCEPTED
+
+
+def _fold_lease(
+    state: state_module.FleetState, offset: int, record: records.LeaseGrant
+) -> Verdict:
+    if record.prior_token != state.lease_token(record.name):
+        return Verdict.CONFLICT
+    state.leases[record.name] = state_module.Lease(
+        holder=record.holder, token=offset, ttl_ms=record.ttl_ms
+    )
+    return Verdict.ACCEPTED
+
+
+def _fold_membership(
+    state: state_module.FleetState,
+    offset: int,
+    record: records.MembershipChange,
+) -> Verdict:
+    member = state.members.get(record.endpoint)
+    if (member.state if member else 'live') == record.state:
+        return Verdict.NO_CHANGE
+    if record.state == 'live':
+        del state.members[record.endpoint]
+        return Verdict.ACCEPTED
+    state.members[record.endpoint] = state_module.Member(
+        state=record.state, token=offset
+    )
+    return Verdict.ACCEPTED
+
+
+def _fold_map(
+    state: state_module.FleetState, offset: int, record: records.MapPlan
+) -> Verdict:
+    lease_token = state.lease_token(MAP_LEASE + record.group)
+    if record.lease_token != lease_token or not lease_token:
+        return Verdict.STALE_TOKEN
+    current = state.maps.get(record.group)
+    # A planner that lost its append's answer appends the record again;
+    # both copies may land.
+    if current is not None and current.record_id == record.id:
+        return Verdict.NO_CHANGE
+    state.maps[record.group] = state_module.MapVersion(
+        version=offset, record_id=record.id, placement=record.placement
+    )
+    return Verdict.ACCEPTED
--- /dev/null
+++ b/src/aspenfold/_internal/configuration/patch.py
@@ -0,0 +1,34 @@
+"""Differences between whole fleets, and the digest of a whole."""
+
+import typing
+
+import jsonpatch
+import jsonpointer
+import orjson
+import xxhash
+
+Document = dict[str, typing.Any]
+
+
+def digest(document: Document) -> str:
+    """Return the digest of a fleet document, independent of key order."""
+    data = orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def diff(old: Document, new: Document) -> list[dict[str, typing.Any]]:
+    """Return the JSON patch that turns ``old`` into ``new``."""
+    return list(jsonpatch.make_patch(old, new))
+
+
+def apply(document: Document, patch: typing.Any) -> Document | None:
+    """Return ``document`` with ``patch`` applied, None if it cannot be."""
+    try:
+        result = jsonpatch.JsonPatch(patch).apply(document)
+    except (
+        jsonpatch.JsonPatchException,
+        jsonpointer.JsonPointerException,
+        TypeError,
+    ):
+        return None
+    return result if isinstance(result, dict) else None
--- /dev/null
+++ b/src/aspenfold/_internal/configuration/reader.py
@@ -0,0 +1,111 @@
+"""Reads a stream in offset order and recovers when it was trimmed."""
+
+from collections import abc
+import dataclasses
+import typing
+
+from aspenfold._internal.configuration import fold
+from aspenfold._internal.configuration import state as state_module
+from aspenfold._internal.models import records
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogRecord:
+    """A record as read: its offset and undecoded body."""
+
+    offset: int
+    body: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Page:
+    """One answer of the log: records and the range that it still holds.
+
+    ``first`` is the oldest offset kept, ``next`` the one after the
+    newest.
+    """
+
+    records: list[LogRecord]
+    first: int
+    next: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Judged:
+    """A record and the verdict of this reader."""
+
+    record: LogRecord
+    verdict: fold.Verdict
+
+
+class FleetReader:
+    """Folds the fleet stream; never goes from a later state to an earlier.
+
+    While records between its position and the oldest kept one are
+    missing, it judges nothing and waits for a snapshot that reaches
+    back to a record that the log still holds.
+    """
+
+    def __init__(self) -> None:
+        self.state = state_module.FleetState()
+        self._position = 1
+        self._pending: list[LogRecord] | None = None
+
+    @property
+    def position(self) -> int:
+        """The offset to read next."""
+        return self._position
+
+    @property
+    def recovering(self) -> bool:
+        """Whether records were lost to trimming and none is judged."""
+        return self._pending is not None
+
+    def feed(self, page: Page) -> list[Judged]:
+        """Fold a page that was read from :attr:`position`."""
+        if page.first > self._position and self._position < page.next:
+            self._position = page.first
+            self._pending = []
+        judged: list[Judged] = []
+        for record in page.records:
+            if record.offset < self._position:
+                continue
+            self._position = record.offset + 1
+            judged.extend(self._take(record, page.first))
+        return judged
+
+    def adopt(self, state: state_module.FleetState) -> bool:
+        """Take a peer's state if it is further on; return whether so."""
+        if state.next_offset <= self.state.next_offset:
+            return False
+        self.state = state
+        self._position = max(self._position, state.next_offset)
+        self._pending = None
+        return True
+
+    def _take(self, record: LogRecord, first: int) -> abc.Iterator[Judged]:
+        if self._pending is None:
+            verdict = fold.fold(self.state, record.offset, record.body)
+            yield Judged(record=record, verdict=verdict)
+            return
+        self._pending.append(record)
+        if not self._restore(record, first):
+            return
+        pending, self._pending = self._pending, None
+        for kept in pending:
+            if kept.offset < self.state.next_offset:
+                continue
+            verdict = fold.fold(self.state, kept.offset, kept.body)
+            yield Judged(record=kept, verdict=verdict)
+
+    def _restore(self, record: LogRecord, first: int) -> bool:
+        if record.body.get('type') != 'snapshot':
+            return False
+        snapshot = records.Snapshot.model_validate(record.body)
+        oldest = self._pending[0].offset if self._pending else first
+        if snapshot.covers < oldest:
+            return False
+        restored = state_module.FleetState.from_json(snapshot.state)
+        if restored.next_offset > self.state.next_offset:
+            self.state = restored
+        return True
--- /dev/null
+++ b/src/aspenfold/_internal/configuration/state.py
@@ -0,0 +1,99 @@
+"""What the fleet stream folds to: configuration, leases, maps, members."""
+
+import copy
+import dataclasses
+import typing
+
+from aspenfold._internal.configuration import patch
+from aspenfold._internal.models import fleet as fleet_model
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Lease:
+    """The last valid grant of a lease; ``token`` is its offset."""
+
+    holder: str
+    token: int
+    ttl_ms: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Member:
+    """The state that the log gives an endpoint, and since which offset."""
+
+    state: str
+    token: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class MapVersion:
+    """A group's newest expert map; ``version`` is its offset.
+
+    ``placement[r]`` lists the experts that rank ``r`` holds, replicas
+    included.
+    """
+
+    version: int
+    record_id: str
+    placement: list[list[int]]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class FleetState:
+    """The fold of all records before ``next_offset``.
+
+    ``version`` is the offset of the configuration in force, 0 for none.
+    """
+
+    next_offset: int = 1
+    version: int = 0
+    document: patch.Document = dataclasses.field(default_factory=dict)
+    leases: dict[str, Lease] = dataclasses.field(default_factory=dict)
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    maps: dict[str, MapVersion] = dataclasses.field(default_factory=dict)
+    _fleet: fleet_model.Fleet | None = None
+
+    @property
+    def fleet(self) -> fleet_model.Fleet | None:
+        """The validated fleet in force, None before the first one."""
+        if self.version and self._fleet is None:
+            self._fleet = fleet_model.Fleet.model_validate(self.document)
+        return self._fleet
+
+    def set_document(self, version: int, document: patch.Document) -> None:
+        """Put ``document`` in force as ``version``."""
+        self.version = version
+        self.document = document
+        self._fleet = None
+
+    def lease_token(self, name: str) -> int:
+        """Return the fencing token last granted for ``name``, or 0."""
+        lease = self.leases.get(name)
+        return lease.token if lease else 0
+
+    def to_json(self) -> dict[str, typing.Any]:
+        """Return a plain document for a snapshot or a peer."""
+        return {
+            'next_offset': self.next_offset,
+            'version': self.version,
+            'document': self.document,
+            'leases': _plain(self.leases),
+            'members': _plain(self.members),
+            'maps': _plain(self.maps),
+        }
+
+    @classmethod
+    def from_json(cls, data: dict[str, typing.Any]) -> 'FleetState':
+        """Rebuild a state from :meth:`to_json`."""
+        return cls(
+            next_offset=data['next_offset'],
+            version=data['version'],
+            document=copy.deepcopy(data['document']),
+            leases={k: Lease(**v) for k, v in data['leases'].items()},
+            members={k: Member(**v) for k, v in data['members'].items()},
+            maps={k: MapVersion(**v) for k, v in data['maps'].items()},
+        )
+
+
+def _plain(items: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    return {name: dataclasses.asdict(item) for name, item in items.items()}
--- /dev/null
+++ b/src/aspenfold/_internal/exceptions.py
@@ -0,0 +1,177 @@
+"""Numbered result codes and the exceptions that carry them.
+
+The thousands digit of a code tells whether the request ran:
+
+* 1xxx: not run, and it never will;
+* 2xxx: unknown, it may have run;
+* 3xxx: ran, but the answer cannot be given whole;
+* 4xxx: a configuration or operator command was refused;
+* 5xxx: a program cannot start or reach what it needs.
+"""
+
+import dataclasses
+import datetime
+import enum
+
+
+class Outcome(enum.Enum):
+    """Whether the request behind an error was executed."""
+
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+    RAN = 'ran'
+
+
+class Code(enum.IntEnum):
+    """Every result code; ``docs/ERRORS.md`` is checked against it."""
+
+    BAD_REQUEST = 1000
+    UNAUTHENTICATED = 1001
+    UNKNOWN_SERVICE = 1002
+    UNKNOWN_OPERATION = 1003
+    BODY_TOO_LARGE = 1004
+    BAD_JSON = 1005
+    BAD_HEADER = 1006
+    KEY_REQUIRED = 1007
+    KEY_REUSED = 1008
+    BAD_TICKET = 1009
+    NO_RULE = 1010
+    RATE_LIMITED = 1100
+    TOO_MANY_IN_FLIGHT = 1101
+    OVERLOADED = 1102
+    DEADLINE_TOO_SHORT = 1103
+    NO_ENDPOINT = 1200
+    DRAINING = 1201
+    DEADLINE_PASSED = 1202
+    SEALED = 1203
+    ENDPOINT_UNREACHABLE = 1204
+    LOG_UNAVAILABLE = 1300
+    KEY_NOT_JUDGEABLE = 1301
+    NO_FLEET = 1302
+    CANCELLED = 1400
+    FATE_UNKNOWN = 2000
+    INCARNATION_GONE = 2001
+    ENDPOINT_LOST = 2002
+    KEY_UNDECIDED = 2003
+    ANSWER_EXPIRED = 3000
+    ANSWER_BROKEN = 3001
+    ANSWER_CUT = 3002
+    ENDPOINT_FAILED = 3003
+    CONFIG_INVALID = 4000
+    CONFIG_CONFLICT = 4001
+    CONFIG_DIGEST = 4002
+    APPEND_UNKNOWN = 4003
+    NOT_IN_FORCE = 4004
+    NOT_FOUND = 4005
+    SETTINGS_INVALID = 5000
+    PORT_UNAVAILABLE = 5001
+    LOG_DOWN = 5002
+    HOST_LIST_DOWN = 5003
+
+
+HTTP_STATUS: dict[Code, int] = {
+    Code.BAD_REQUEST: 400,
+    Code.UNAUTHENTICATED: 401,
+    Code.UNKNOWN_SERVICE: 404,
+    Code.UNKNOWN_OPERATION: 404,
+    Code.BODY_TOO_LARGE: 413,
+    Code.BAD_JSON: 400,
+    Code.BAD_HEADER: 400,
+    Code.KEY_REQUIRED: 400,
+    Code.KEY_REUSED: 422,
+    Code.BAD_TICKET: 400,
+    Code.NO_RULE: 403,
+    Code.RATE_LIMITED: 429,
+    Code.TOO_MANY_IN_FLIGHT: 429,
+    Code.DEADLINE_TOO_SHORT: 504,
+    Code.DEADLINE_PASSED: 504,
+    Code.CANCELLED: 499,
+    Code.FATE_UNKNOWN: 502,
+    Code.INCARNATION_GONE: 502,
+    Code.ENDPOINT_LOST: 502,
+    Code.ANSWER_EXPIRED: 409,
+    Code.ANSWER_BROKEN: 502,
+    Code.ANSWER_CUT: 502,
+    Code.ENDPOINT_FAILED: 502,
+    Code.CONFIG_INVALID: 422,
+    Code.CONFIG_CONFLICT: 409,
+    Code.NOT_FOUND: 404,
+}
+"""HTTP status by code; codes that are not named answer 503."""
+
+
+def outcome_of(code: Code) -> Outcome:
+    """Return whether a request that ended in ``code`` was executed."""
+    if code < 2000:
+        return Outcome.NOT_RUN
+    if code < 3000:
+        return Outcome.UNKNOWN
+    if code < 4000:
+        return Outcome.RAN
+    return Outcome.NOT_RUN
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Failure:
+    """The coded end of a request, as a message between kernel parts.
+
+    ``field`` names the offending header, JSON path or setting;
+    ``remedy`` tells the caller what to do next.
+    """
+
+    code: Code
+    detail: str
+    field: str = ''
+    remedy: str = ''
+    retry_after: datetime.timedelta | None = None
+
+    @property
+    def outcome(self) -> Outcome:
+        """Whether the request ran."""
+        return outcome_of(self.code)
+
+    @property
+    def http_status(self) -> int:
+        """The HTTP status towards callers."""
+        return HTTP_STATUS.get(self.code, 503)
+
+
+class AspenfoldError(Exception):
+    """Base of every error that reaches a person; carries a code."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+    def __str__(self) -> str:
+        parts = [f'[{int(self.failure.code)}] {self.failure.detail}']
+        if self.failure.field:
+            parts.append(f'field: {self.failure.field}')
+        if self.failure.remedy:
+            parts.append(f'try: {self.failure.remedy}')
+        return '; '.join(parts)
+
+
+class RequestError(AspenfoldError):
+    """A caller's request that is refused before it enters the kernel."""
+
+
+class ConfigError(AspenfoldError):
+    """A fleet or an operator command that is refused."""
+
+
+class SettingsError(AspenfoldError):
+    """A settings file or start-up condition that is refused."""
+
+
+class LogUnavailable(AspenfoldError):
+    """The log service did not answer; an append's fate is unknown."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(
+            Failure(
+                code=Code.LOG_DOWN,
+                detail=detail,
+                remedy='check the log service and try again',
+            )
+        )
--- /dev/null
+++ b/src/aspenfold/_internal/expertmaps/leader.py
@@ -0,0 +1,245 @@
+"""The part that the agent of a group's first rank plays besides."""
+
+import dataclasses
+import datetime
+import random
+
+from aspenfold._internal.expertmaps import messages
+
+RUN_LENGTH = 200
+"""Steps in one grant."""
+
+EXTEND_BELOW = 150
+"""Granted steps left at which the next run is granted."""
+
+RESEND = datetime.timedelta(milliseconds=200)
+
+HEARTBEAT = datetime.timedelta(seconds=1)
+"""How often a rank with nothing to do is asked whether it lives."""
+
+NONCE_BITS = 20
+"""Low bits of a ballot, random, so that no two leaders share one."""
+
+Kind = messages.Kind
+Placement = tuple[tuple[int, ...], ...]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Member:
+    """A rank as this leader knows it under its ballot."""
+
+    incarnation: str
+    runs: set[messages.Run]
+    prepared: set[int]
+    step: int
+
+
+class LeaderMachine:
+    """Recruits every rank, prepares maps on all, then grants steps."""
+
+    def __init__(self, *, group: str, ranks: int, rng: random.Random) -> None:
+        self.group = group
+        self.ranks = ranks
+        self.ballot = 0
+        self.granted_to = -1
+        self._rng = rng
+        self._members: dict[int, _Member] = {}
+        self._plans: dict[int, Placement] = {}
+        self._newest = 0
+        self._runs: list[messages.Run] = []
+        self._resend_at: datetime.datetime | None = None
+        self._heartbeat_at: datetime.datetime | None = None
+
+    @property
+    def newest_plan(self) -> int:
+        """The newest plan's version, 0 for none."""
+        return self._newest
+
+    def plan(
+        self, version: int, placement: Placement
+    ) -> list[messages.Action]:
+        """Take a plan of the log; versions only grow."""
+        if version <= self._newest or len(placement) != self.ranks:
+            return []
+        self._newest = version
+        self._plans[version] = placement
+        return self._advance() if self._complete else []
+
+    def tick(self, now: datetime.datetime) -> list[messages.Action]:
+        """Start, or send again what is unanswered."""
+        if not self._newest:
+            return []
+        if self._resend_at is not None and now < self._resend_at:
+            return []
+        self._resend_at = now + RESEND
+        if not self.ballot:
+            self._take_ballot(0)
+        if not self._complete:
+            return [
+                self._send(Kind.RECRUIT, rank)
+                for rank in range(self.ranks)
+                if rank not in self._members
+            ]
+        result = self._advance()
+        if not result and self._heartbeat_due(now):
+            result = [
+                self._send(Kind.GRANT, rank) for rank in range(self.ranks)
+            ]
+        return result
+
+    def receive(self, message: messages.Message) -> list[messages.Action]:
+        """Take a rank's answer."""
+        if message.kind is Kind.REJECTED:
+            return self._rejected(message)
+        if message.ballot != self.ballot:
+            return []
+        if message.kind is Kind.PROMISED:
+            return self._promised(message)
+        member = self._members.get(message.sender)
+        if member is None or member.incarnation != message.incarnation:
+            return []
+        member.prepared.update(message.prepared)
+        member.runs.update(message.runs)
+        member.step = max(member.step, message.step)
+        return self._advance() if self._complete else []
+
+    def _heartbeat_due(self, now: datetime.datetime) -> bool:
+        if self._heartbeat_at is not None and now < self._heartbeat_at:
+            return False
+        self._heartbeat_at = now + HEARTBEAT
+        return True
+
+    @property
+    def _complete(self) -> bool:
+        return len(self._members) == self.ranks
+
+    def _take_ballot(self, above: int) -> None:
+        counter = (above >> NONCE_BITS) + 1
+        nonce = self._rng.getrandbits(NONCE_BITS)
+        self.ballot = (counter << NONCE_BITS) | nonce
+        self._members.clear()
+        self._runs.clear()
+        self._resend_at = None
+
+    def _rejected(self, message: messages.Message) -> list[messages.Action]:
+        known = self._members.get(message.sender)
+        if message.ballot > self.ballot:
+            self._take_ballot(message.ballot)
+        elif known is not None and known.incarnation != message.incarnation:
+            self._take_ballot(self.ballot)
+        return []
+
+    def _promised(self, message: messages.Message) -> list[messages.Action]:
+        known = self._members.get(message.sender)
+        if known is not None:
+            if known.incarnation != message.incarnation:
+                self._take_ballot(self.ballot)
+            return []
+        self._members[message.sender] = _Member(
+            incarnation=message.incarnation,
+            runs=set(message.runs),
+            prepared=set(message.prepared),
+            step=message.step,
+        )
+        if not self._complete:
+            return []
+        self._adopt_grants()
+        return self._advance()
+
+    def _adopt_grants(self) -> None:
+        """Go on from what any rank was granted under earlier ballots."""
+        union: set[messages.Run] = set()
+        for member in self._members.values():
+            union |= member.runs
+        self._runs = sorted(union)
+        steps = [member.step for member in self._members.values()]
+        last = max([run.last for run in self._runs] + steps)
+        # A rank that was replaced may have been granted one run by each
+        # earlier leader that no living rank knows of.  Ballot counters
+        # grow with every leader, so these steps are never granted again.
+        counter = self.ballot >> NONCE_BITS
+        self.granted_to = last + RUN_LENGTH * counter if last >= 0 else -1
+
+    def _advance(self) -> list[messages.Action]:
+        usable = self._prepared_by_all()
+        result = self._prepare_rest()
+        lagging = self._grants_missing()
+        if lagging:
+            result.extend(lagging)
+            return result
+        slowest = min(member.step for member in self._members.values())
+        self._runs = [run for run in self._runs if run.last >= slowest]
+        left = sum(
+            run.last - max(run.first - 1, slowest) for run in self._runs
+        )
+        if not usable or left >= EXTEND_BELOW:
+            return result
+        run = messages.Run(
+            first=self.granted_to + 1,
+            last=self.granted_to + RUN_LENGTH,
+            version=usable,
+        )
+        self.granted_to = run.last
+        self._runs.append(run)
+        result.extend(
+            self._send(Kind.GRANT, rank, runs=(run,))
+            for rank in range(self.ranks)
+        )
+        return result
+
+    def _prepared_by_all(self) -> int:
+        shared = set.intersection(
+            *(member.prepared for member in self._members.values())
+        )
+        return max(shared, default=0)
+
+    def _prepare_rest(self) -> list[messages.Action]:
+        wanted = {self._newest} | {run.version for run in self._runs}
+        return [
+            self._send(
+                Kind.PREPARE,
+                rank,
+                version=version,
+                placement=self._plans[version],
+            )
+            for version in sorted(wanted & set(self._plans))
+            for rank, member in self._members.items()
+            if version not in member.prepared
+        ]
+
+    def _grants_missing(self) -> list[messages.Action]:
+        """Grant again what a rank has neither finished nor confirmed."""
+        result: list[messages.Action] = []
+        for rank, member in self._members.items():
+            missing = tuple(
+                run
+                for run in self._runs
+                if run not in member.runs and run.last > member.step
+            )
+            if missing:
+                result.append(self._send(Kind.GRANT, rank, runs=missing))
+        return result
+
+    def _send(
+        self,
+        kind: Kind,
+        rank: int,
+        *,
+        version: int = 0,
+        runs: tuple[messages.Run, ...] = (),
+        placement: Placement = (),
+    ) -> messages.Action:
+        member = self._members.get(rank)
+        return messages.SendMessage(
+            message=messages.Message(
+                group=self.group,
+                kind=kind,
+                sender=0,
+                target=rank,
+                ballot=self.ballot,
+                incarnation=member.incarnation if member else '',
+                version=version,
+                runs=runs,
+                placement=placement,
+            )
+        )
--- /dev/null
+++ b/src/aspenfold/_internal/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases recorded in the log; no I/O here."""
--- /dev/null
+++ b/src/aspenfold/_internal/leases/duties.py
@@ -0,0 +1,150 @@
+"""Duties that one entry at a time performs under a lease.
+
+Planning expert maps and writing snapshots: each tick returns at most
+one record a duty, and the fold of the log shows whether it took effect.
+"""
+
+import datetime
+import random
+
+from aspenfold._internal.configuration import fold
+from aspenfold._internal.configuration import state as state_module
+from aspenfold._internal.expertmaps import planner
+from aspenfold._internal.kernel import registry
+from aspenfold._internal.leases import keeper
+from aspenfold._internal.models import fleet as fleet_model
+from aspenfold._internal.models import records
+
+LEASE_TTL = datetime.timedelta(seconds=3)
+
+SNAPSHOT_EVERY = 200
+"""Records between two snapshots."""
+
+RETRY = datetime.timedelta(seconds=1)
+"""Wait for an own record to be folded before it is written again."""
+
+ID_BITS = 96
+
+
+class Duties:
+    """Decides which records this entry writes on its own account."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        rng: random.Random,
+        snapshot_interval: datetime.timedelta,
+    ) -> None:
+        self._name = name
+        self._rng = rng
+        self._interval = snapshot_interval
+        self._keeper = keeper.LeaseKeeper(holder=name)
+        self._snapshot_offset = 0
+        self._snapshot_at: datetime.datetime | None = None
+        self._wrote: dict[str, datetime.datetime] = {}
+
+    def snapshot_seen(self, offset: int, now: datetime.datetime) -> None:
+        """A snapshot stands at ``offset``."""
+        self._snapshot_offset = offset
+        self._snapshot_at = now
+
+    def tick(
+        self, state: state_module.FleetState, now: datetime.datetime
+    ) -> list[records.Record]:
+        """Return the records to append now."""
+        fleet = state.fleet
+        if fleet is None:
+            return []
+        result: list[records.Record] = []
+        for group in fleet.groups:
+            record = self._plan_map(state, group, now)
+            if record is not None:
+                result.append(record)
+        snapshot = self._snapshot(state, now)
+        if snapshot is not None:
+            result.append(snapshot)
+        return result
+
+    def _plan_map(
+        self,
+        state: state_module.FleetState,
+        group: fleet_model.Group,
+        now: datetime.datetime,
+    ) -> records.Record | None:
+        current = state.maps.get(group.name)
+        if current is not None and _fits(group, current.placement):
+            return None
+        lease = fold.MAP_LEASE + group.name
+        token = self._keeper.held(state, lease)
+        if not token:
+            return self._ask(state, lease, now)
+        if not self._due(lease, now):
+            return None
+        return records.MapPlan(
+            id=self._new_id(),
+            author=self._name,
+            at=now,
+            group=group.name,
+            lease_token=token,
+            placement=first_placement(group),
+            reason='the group has no map of its size',
+        )
+
+    def _snapshot(
+        self, state: state_module.FleetState, now: datetime.datetime
+    ) -> records.Record | None:
+        if self._snapshot_at is None:
+            self._snapshot_at = now
+        fresh = state.next_offset - self._snapshot_offset < SNAPSHOT_EVERY
+        if fresh and now < self._snapshot_at + self._interval:
+            return None
+        token = self._keeper.held(state, fold.SNAPSHOT_LEASE)
+        if not token:
+            return self._ask(state, fold.SNAPSHOT_LEASE, now)
+        if not self._due(fold.SNAPSHOT_LEASE, now):
+            return None
+        return records.Snapshot(
+            id=self._new_id(),
+            author=self._name,
+            at=now,
+            covers=state.next_offset,
+            lease_token=token,
+            state=state.to_json(),
+        )
+
+    def _ask(
+        self,
+        state: state_module.FleetState,
+        lease: str,
+        now: datetime.datetime,
+    ) -> records.Record | None:
+        return self._keeper.request(
+            state, lease, LEASE_TTL, self._new_id(), now
+        )
+
+    def _due(self, name: str, now: datetime.datetime) -> bool:
+        wrote = self._wrote.get(name)
+        if wrote is not None and now < wrote + RETRY:
+            return False
+        self._wrote[name] = now
+        return True
+
+    def _new_id(self) -> str:
+        return f'{self._rng.getrandbits(ID_BITS):024x}'
+
+
+def first_placement(group: fleet_model.Group) -> list[list[int]]:
+    """Return a placement that assumes all experts equally popular."""
+    shape = planner.Shape(
+        ranks=group.ranks,
+        experts=group.experts,
+        slots_per_rank=group.slots_per_rank,
+    )
+    policy: planner.MapPlanner = registry.create(planner.KIND, 'full')
+    return policy.plan(shape, [1.0] * group.experts, [], group.price)
+
+
+def _fits(group: fleet_model.Group, placement: list[list[int]]) -> bool:
+    held = {expert for experts in placement for expert in experts}
+    return len(placement) == group.ranks and len(held) == group.experts
--- /dev/null
+++ b/src/aspenfold/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models at the border: files, log records, host list."""
--- /dev/null
+++ b/src/aspenfold/_internal/models/base.py
@@ -0,0 +1,82 @@
+"""The base of border models and the wording of their errors."""
+
+import json
+import pathlib
+import typing
+
+import pydantic
+
+from aspenfold._internal import exceptions
+
+Name = typing.Annotated[
+    str, pydantic.StringConstraints(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')
+]
+"""A name in fleet and settings files: lower case, digits, hyphens."""
+
+MAX_ERRORS_SHOWN = 12
+
+
+class Model(pydantic.BaseModel):
+    """A strict, immutable model that refuses unknown keys."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+M = typing.TypeVar('M', bound=pydantic.BaseModel)
+
+
+def describe(exc: pydantic.ValidationError) -> str:
+    """Return one line for each error: path, problem and value."""
+    lines = []
+    for error in exc.errors(include_url=False)[:MAX_ERRORS_SHOWN]:
+        path = '.'.join(str(part) for part in error['loc']) or '(top level)'
+        value = error['input']
+        shown = '' if isinstance(value, dict) else f' (got {value!r:.60})'
+        lines.append(f'{path}: {error["msg"]}{shown}')
+    return '; '.join(lines)
+
+
+def first_path(exc: pydantic.ValidationError) -> str:
+    """Return the JSON path of the first error."""
+    return '.'.join(str(part) for part in exc.errors()[0]['loc'])
+
+
+def load_json(path: str, *, code: exceptions.Code) -> object:
+    """Read a JSON file or raise a coded error that names it."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+        return json.loads(text)
+    except OSError as exc:
+        detail = f'cannot read {path}: {exc.strerror}'
+    except UnicodeDecodeError:
+        detail = f'{path} is not UTF-8 text'
+    except json.JSONDecodeError as exc:
+        detail = (
+            f'{path} is not JSON: {exc.msg} at line {exc.lineno}, '
+            f'column {exc.colno}'
+        )
+    raise exceptions.ConfigError(
+        exceptions.Failure(
+            code=code,
+            detail=detail,
+            field=path,
+            remedy='name a readable JSON file',
+        )
+    )
+
+
+def load_model(path: str, cls: type[M], *, code: exceptions.Code) -> M:
+    """Read and validate a JSON file as ``cls``."""
+    data = load_json(path, code=code)
+    try:
+        return cls.model_validate(data)
+    except pydantic.ValidationError as exc:
+        raise exceptions.ConfigError(
+            exceptions.Failure(
+                code=code,
+                detail=f'{path}: {describe(exc)}',
+                field=first_path(exc),
+                remedy='correct the named fields; see '
+                'docs/CONFIGURATION.md for the allowed ones',
+            )
+        ) from None
--- /dev/null
+++ b/src/aspenfold/_internal/models/fleet.py
@@ -0,0 +1,234 @@
+"""The fleet file: the whole desired fleet as one JSON document."""
+
+import enum
+import typing
+
+import pydantic
+
+from aspenfold._internal.models import base
+
+ANY = '*'
+"""Matches every value in a rule."""
+
+
+class ServiceKind(enum.StrEnum):
+    """What stands behind a service."""
+
+    MODEL = 'model'
+    PLAIN = 'plain'
+
+
+class Priority(enum.StrEnum):
+    """Priority classes, most urgent first."""
+
+    INTERACTIVE = 'interactive'
+    GENERATION = 'generation'
+    BATCH = 'batch'
+
+
+class Region(base.Model):
+    """A region and its availability zones."""
+
+    name: base.Name
+    availability_zones: list[base.Name] = pydantic.Field(min_length=1)
+
+
+class Limits(base.Model):
+    """What an organisation may use, over all entry hosts together."""
+
+    requests_per_second: float = pydantic.Field(default=50.0, gt=0)
+    burst: float = pydantic.Field(default=100.0, gt=0)
+    in_flight: int = pydantic.Field(default=200, gt=0)
+
+
+class Organisation(base.Model):
+    """A customer; ``credential_sha256`` holds hashes, never secrets."""
+
+    name: base.Name
+    weight: float = pydantic.Field(default=1.0, gt=0)
+    limits: Limits = Limits()
+    credential_sha256: list[
+        typing.Annotated[
+            str, pydantic.StringConstraints(pattern='^[0-9a-f]{64}$')
+        ]
+    ] = pydantic.Field(min_length=1)
+
+
+class Operation(base.Model):
+    """One call that a service offers."""
+
+    name: base.Name
+    path: str = pydantic.Field(pattern='^/')
+    repeatable: bool = True
+    streamed: bool = False
+
+
+class Policies(base.Model):
+    """Names of the kernel's plug-ins that a service uses."""
+
+    routing: str = 'two-choices'
+    admission: str = 'lanes'
+    retry: str = 'budget'
+
+
+class Service(base.Model):
+    """A model or a plain service and its operations."""
+
+    name: base.Name
+    kind: ServiceKind
+    operations: list[Operation] = pydantic.Field(min_length=1)
+    workers: dict[base.Name, typing.Annotated[int, pydantic.Field(ge=0)]]
+    policies: Policies = Policies()
+    checks_fencing: bool = False
+
+    def operation(self, name: str) -> Operation | None:
+        """Return the operation called ``name``."""
+        return next((op for op in self.operations if op.name == name), None)
+
+
+class MapPrice(base.Model):
+    """What skew and moved weights cost against each other."""
+
+    skew_bound: float = pydantic.Field(default=1.08, ge=1.0)
+    skew: float = pydantic.Field(default=1.0, ge=0)
+    moved_weights: float = pydantic.Field(default=1.0, ge=0)
+
+
+class Group(base.Model):
+    """A lock-step group of ranks that shares one expert map."""
+
+    name: base.Name
+    service: base.Name
+    ranks: int = pydantic.Field(ge=1, le=1024)
+    experts: int = pydantic.Field(ge=1, le=4096)
+    slots_per_rank: int = pydantic.Field(ge=1, le=4096)
+    price: MapPrice = MapPrice()
+
+    @pydantic.model_validator(mode='after')
+    def _slots_hold_experts(self) -> 'Group':
+        if self.ranks * self.slots_per_rank < self.experts:
+            raise ValueError(
+                f'{self.ranks} ranks of {self.slots_per_rank} slots cannot '
+                f'hold {self.experts} experts'
+            )
+        return self
+
+
+class Rule(base.Model):
+    """Maps matching requests to a priority; the first match wins."""
+
+    organisation: str = ANY
+    service: str = ANY
+    operation: str = ANY
+    priority: Priority
+    default_deadline_ms: int = pydantic.Field(default=30_000, gt=0)
+    max_deadline_ms: int = pydantic.Field(default=600_000, gt=0)
+
+    def matches(self, organisation: str, service: str, operation: str) -> bool:
+        """Return whether the rule applies to such a request."""
+        return (
+            self.organisation in (ANY, organisation)
+            and self.service in (ANY, service)
+            and self.operation in (ANY, operation)
+        )
+
+
+class Fleet(base.Model):
+    """The whole fleet."""
+
+    format: typing.Literal[1]
+    name: base.Name
+    regions: list[Region] = pydantic.Field(min_length=1)
+    organisations: list[Organisation] = pydantic.Field(min_length=1)
+    services: list[Service] = pydantic.Field(min_length=1)
+    groups: list[Group] = []
+    rules: list[Rule] = pydantic.Field(min_length=1)
+
+    def zones(self) -> set[str]:
+        """Return the names of all availability zones."""
+        return {
+            zone
+            for region in self.regions
+            for zone in region.availability_zones
+        }
+
+    def service(self, name: str) -> Service | None:
+        """Return the service called ``name``."""
+        return next((s for s in self.services if s.name == name), None)
+
+    def organisation(self, name: str) -> Organisation | None:
+        """Return the organisation called ``name``."""
+        return next((o for o in self.organisations if o.name == name), None)
+
+    def rule_for(
+        self, organisation: str, service: str, operation: str
+    ) -> Rule | None:
+        """Return the first rule that matches."""
+        return next(
+            (
+                rule
+                for rule in self.rules
+                if rule.matches(organisation, service, operation)
+            ),
+            None,
+        )
+
+    @pydantic.model_validator(mode='after')
+    def _references_resolve(self) -> 'Fleet':
+        problems = [
+            *_twice('regions', [r.name for r in self.regions]),
+            *_twice('organisations', [o.name for o in self.organisations]),
+            *_twice('services', [s.name for s in self.services]),
+            *_twice('groups', [g.name for g in self.groups]),
+            *self._bad_workers(),
+            *self._bad_groups(),
+            *self._bad_rules(),
+        ]
+        if problems:
+            raise ValueError('; '.join(problems))
+        return self
+
+    def _bad_workers(self) -> list[str]:
+        zones = self.zones()
+        return [
+            f'services.{i}.workers.{zone}: no such availability zone, '
+            f'use one of {sorted(zones)}'
+            for i, service in enumerate(self.services)
+            for zone in service.workers
+            if zone not in zones
+        ]
+
+    def _bad_groups(self) -> list[str]:
+        models = sorted(
+            s.name for s in self.services if s.kind is ServiceKind.MODEL
+        )
+        return [
+            f'groups.{i}.service: {group.service!r} is no model service, '
+            f'use one of {models}'
+            for i, group in enumerate(self.groups)
+            if group.service not in models
+        ]
+
+    def _bad_rules(self) -> list[str]:
+        problems = []
+        known = {
+            'organisation': {o.name for o in self.organisations},
+            'service': {s.name for s in self.services},
+            'operation': {
+                op.name for s in self.services for op in s.operations
+            },
+        }
+        for i, rule in enumerate(self.rules):
+            for field, allowed in known.items():
+                value = getattr(rule, field)
+                if value != ANY and value not in allowed:
+                    problems.append(
+                        f'rules.{i}.{field}: no such {field} {value!r}, '
+                        f'use one of {sorted(allowed)}'
+                    )
+        return problems
+
+
+def _twice(field: str, values: list[str]) -> list[str]:
+    repeated = {value for value in values if values.count(value) > 1}
+    return [f'{field}: {name!r} stands twice' for name in sorted(repeated)]
--- /dev/null
+++ b/src/aspenfold/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""The I/O edges: HTTP, RPC, and the platform's services."""
--- /dev/null
+++ b/src/aspenfold/_internal/network/agent_client.py
@@ -0,0 +1,137 @@
+"""Calls agents by grpclib; one channel an agent, made when needed."""
+
+import asyncio
+from collections import abc
+
+import grpclib
+import grpclib.client
+
+from aspenfold._internal.expertmaps import messages
+from aspenfold._internal.kernel import frames
+from aspenfold._internal.network import auth
+from aspenfold._internal.network import codec
+from aspenfold._internal.rpc import aspenfold_grpc as rpc
+from aspenfold._internal.rpc import aspenfold_pb2 as pb
+
+CONNECT_TIMEOUT = 1.0
+UNARY_TIMEOUT = 1.5
+
+LOST = (
+    OSError,
+    asyncio.TimeoutError,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
+"""What a broken or refused call raises."""
+
+
+class LegLost(Exception):
+    """A leg broke; ``sent``: the request may have reached the agent."""
+
+    def __init__(self, *, sent: bool) -> None:
+        super().__init__('the leg was lost')
+        self.sent = sent
+
+
+class AgentClients:
+    """Channels to agents by ``(address, port)``."""
+
+    def __init__(self, *, system_key: str) -> None:
+        self._metadata = auth.metadata(system_key)
+        self._channels: dict[tuple[str, int], grpclib.client.Channel] = {}
+
+    async def execute(
+        self, address: str, port: int, request: frames.AttemptRequest
+    ) -> abc.AsyncIterator[frames.Frame]:
+        """Open a leg and give its frames; raises LegLost when it breaks."""
+        stub = self._stub(address, port)
+        await self._connect(address, port)
+        sent = False
+        try:
+            async with stub.Execute.open(metadata=self._metadata) as stream:
+                sent = True
+                await stream.send_message(
+                    codec.request_to_pb(request), end=True
+                )
+                async for message in stream:
+                    yield codec.frame_from_pb(message)
+        except LOST as exc:
+            raise LegLost(sent=sent) from exc
+
+    async def report(
+        self, address: str, port: int, request: pb.ReportRequest
+    ) -> pb.ReportReply:
+        """Ask for a report."""
+        stub = self._stub(address, port)
+        return await stub.Report(
+            request, timeout=UNARY_TIMEOUT, metadata=self._metadata
+        )
+
+    async def cancel(self, address: str, port: int, attempt_id: str) -> None:
+        """Say that nobody waits for an attempt; best effort."""
+        try:
+            await self._stub(address, port).Cancel(
+                pb.CancelRequest(attempt_id=attempt_id),
+                timeout=UNARY_TIMEOUT,
+                metadata=self._metadata,
+            )
+        except LOST:
+            return
+
+    async def group(
+        self, address: str, port: int, message: messages.Message
+    ) -> None:
+        """Send a message of the expert map protocol; best effort."""
+        try:
+            await self._stub(address, port).Group(
+                codec.group_to_pb(message),
+                timeout=UNARY_TIMEOUT,
+                metadata=self._metadata,
+            )
+        except LOST:
+            return
+
+    async def fleet(
+        self, address: str, port: int, have_offset: int
+    ) -> pb.FleetReply:
+        """Ask a peer entry for a fleet state later than ``have_offset``."""
+        channel = self._channel(address, port)
+        return await rpc.PeerStub(channel).Fleet(
+            pb.FleetRequest(have_offset=have_offset),
+            timeout=UNARY_TIMEOUT,
+            metadata=self._metadata,
+        )
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def forget(self, address: str, port: int) -> None:
+        """Close the channel to a host that is gone."""
+        channel = self._channels.pop((address, port), None)
+        if channel is not None:
+            channel.close()
+
+    async def _connect(self, address: str, port: int) -> None:
+        # grpclib connects inside the call; connecting first tells a
+        # request that never left from one whose fate is unknown.
+        channel = self._channel(address, port)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                await channel.__connect__()
+        except LOST as exc:
+            raise LegLost(sent=False) from exc
+
+    def _channel(self, address: str, port: int) -> grpclib.client.Channel:
+        key = (address, port)
+        channel = self._channels.get(key)
+        if channel is None:
+            channel = grpclib.client.Channel(address, port)
+            self._channels[key] = channel
+        return channel
+
+    def _stub(self, address: str, port: int) -> rpc.AgentStub:
+        return rpc.AgentStub(self._channel(address, port))
--- /dev/null
+++ b/src/aspenfold/_internal/network/http_edge.py
@@ -0,0 +1,346 @@
+"""The callers' HTTP interface, served by CherryPy's threads.
+
+CherryPy's workers are threads while the house style asks for one loop
+on one thread.  They are only an edge: a worker hands a typed request to
+the loop, takes the answer's parts from a bounded queue and writes them
+out.  It decides nothing.
+"""
+
+from collections import abc
+import json
+import logging
+import math
+import typing
+import uuid
+
+import cherrypy
+
+from aspenfold._internal import exceptions
+from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.kernel import frames
+from aspenfold._internal.models import settings
+from aspenfold._internal.network import border
+from aspenfold._internal.network import reply as reply_module
+
+IDLE = 1.0
+"""Seconds between two looks whether a silent answer's caller is there."""
+
+SSE = 'text/event-stream'
+JSON = 'application/json'
+SLOW_READ_TIMEOUT = 10
+"""Seconds that a caller may keep a connection without a byte."""
+
+
+class Loop(typing.Protocol):
+    """What the edge asks of the loop; all calls are thread-safe."""
+
+    def submit(self, raw: border.RawRequest) -> reply_module.Reply:
+        """Hand over a request; its answer comes on the reply."""
+
+    def caller_left(self, request_id: str) -> None:
+        """The caller closed its connection."""
+
+    def admin(
+        self, name: str, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        """Run one of the small synchronous requests on the loop."""
+
+    def metrics_text(self) -> bytes:
+        """Return the metrics as text."""
+
+
+class Api:
+    """The routes; see ``docs/API.md``."""
+
+    def __init__(
+        self,
+        *,
+        loop: Loop,
+        cfg: settings.EntrySettings,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._loop = loop
+        self._cfg = cfg
+        self._clock = clock
+
+    @cherrypy.expose
+    def default(self, *path: str, **query: str) -> typing.Any:
+        """Serve every request."""
+        request = cherrypy.request
+        headers = {k.lower(): v for k, v in request.headers.items()}
+        request_id = _request_id(headers)
+        cherrypy.response.headers['X-Request-Id'] = request_id
+        try:
+            return self._route(request.method, path, headers, request_id)
+        except exceptions.AspenfoldError as exc:
+            return _error(exc.failure, request_id)
+
+    default._cp_config = {'response.stream': True}
+
+    def _route(
+        self,
+        method: str,
+        path: tuple[str, ...],
+        headers: abc.Mapping[str, str],
+        request_id: str,
+    ) -> typing.Any:
+        match (method, *path):
+            case ('POST', 'v1', 'completions'):
+                return self._call('', border.COMPLETIONS, headers, request_id)
+            case ('POST', 'services', service, operation):
+                return self._call(service, operation, headers, request_id)
+            case ('POST', 'v1', 'tickets'):
+                body = self._json_body(headers)
+                return _json(
+                    self._loop.admin('ticket', {**body, 'headers': headers})
+                )
+            case ('GET', 'health', 'live'):
+                return _json({'live': True})
+            case ('GET', 'health', 'ready'):
+                return self._ready()
+            case ('GET', 'metrics'):
+                cherrypy.response.headers['Content-Type'] = 'text/plain'
+                return self._loop.metrics_text()
+            case ('GET', 'admin', 'status'):
+                border.check_operator(headers, self._cfg.operator_key)
+                return _json(self._loop.admin('status', {}))
+            case ('POST', 'admin', 'explain'):
+                border.check_operator(headers, self._cfg.operator_key)
+                body = self._json_body(headers)
+                return _json(self._loop.admin('explain', body))
+        raise border.refuse(
+            exceptions.Code.NOT_FOUND,
+            f'there is nothing at {method} /{"/".join(path)}',
+            field='path',
+            remedy='see docs/API.md for the routes',
+        )
+
+    def _ready(self) -> bytes:
+        status = self._loop.admin('ready', {})
+        if not status['ready']:
+            cherrypy.response.status = 503
+        return _json(status)
+
+    # -- calls -----------------------------------------------------------
+
+    def _call(
+        self,
+        service: str,
+        operation: str,
+        headers: abc.Mapping[str, str],
+        request_id: str,
+    ) -> typing.Any:
+        raw = border.RawRequest(
+            service=service,
+            operation=operation,
+            headers=headers,
+            body=self._body(headers),
+            received_at=self._clock.now(),
+            request_id=request_id,
+        )
+        reply = self._loop.submit(raw)
+        first = self._take(reply)
+        if isinstance(first, reply_module.Failed):
+            return _error(first.failure, request_id)
+        assert isinstance(first, frames.Head)
+        if first.content_type.startswith(SSE):
+            return self._stream(reply, first, request_id)
+        return self._plain(reply, first, request_id)
+
+    def _plain(
+        self, reply: reply_module.Reply, head: frames.Head, request_id: str
+    ) -> bytes:
+        parts: list[bytes] = []
+        while True:
+            part = self._take(reply)
+            if isinstance(part, reply_module.Failed):
+                return _error(part.failure, request_id)
+            if isinstance(part, reply_module.Whole):
+                break
+            if isinstance(part, reply_module.Chunk):
+                parts.extend(part.items)
+        cherrypy.response.status = head.status
+        cherrypy.response.headers['Content-Type'] = head.content_type
+        cherrypy.response.headers['Aspenfold-Outcome'] = 'ran'
+        return b''.join(parts)
+
+    def _stream(
+        self, reply: reply_module.Reply, head: frames.Head, request_id: str
+    ) -> abc.Iterator[bytes]:
+        first = self._take(reply)
+        if isinstance(first, reply_module.Failed):
+            return iter((_error(first.failure, request_id),))
+        cherrypy.response.status = head.status
+        cherrypy.response.headers['Content-Type'] = SSE
+        cherrypy.response.headers['Cache-Control'] = 'no-store'
+        cherrypy.response.headers['Aspenfold-Outcome'] = 'ran'
+        return self._events(reply, first, request_id)
+
+    def _events(
+        self,
+        reply: reply_module.Reply,
+        first: reply_module.Part,
+        request_id: str,
+    ) -> abc.Iterator[bytes]:
+        part: reply_module.Part | None = first
+        ended = False
+        try:
+            while not ended:
+                match part:
+                    case None:
+                        # A comment line finds out whether the caller is
+                        # still there while the engine is silent.
+                        yield b': waiting\n\n'
+                    case reply_module.Chunk():
+                        yield _sse_items(part)
+                    case reply_module.Whole(total=total):
+                        ended = True
+                        yield _sse_end(total)
+                        return
+                    case reply_module.Failed(failure=failure):
+                        ended = True
+                        yield _sse_error(failure, request_id)
+                        return
+                part = reply.take(IDLE)
+        finally:
+            if not ended:
+                self._loop.caller_left(request_id)
+
+    def _take(self, reply: reply_module.Reply) -> reply_module.Part:
+        while True:
+            part = reply.take(IDLE)
+            if part is not None:
+                return part
+
+    # -- bodies ----------------------------------------------------------
+
+    def _body(self, headers: abc.Mapping[str, str]) -> bytes:
+        limit = self._cfg.max_body_bytes
+        length = headers.get('content-length', '')
+        if length.isdigit() and int(length) > limit:
+            cherrypy.response.headers['Connection'] = 'close'
+            raise _too_large(limit)
+        data: bytes = cherrypy.request.rfile.read(limit + 1)
+        if len(data) > limit:
+            cherrypy.response.headers['Connection'] = 'close'
+            raise _too_large(limit)
+        return data
+
+    def _json_body(
+        self, headers: abc.Mapping[str, str]
+    ) -> dict[str, typing.Any]:
+        return border.parse_object(self._body(headers))
+
+
+def _too_large(limit: int) -> exceptions.RequestError:
+    return border.refuse(
+        exceptions.Code.BODY_TOO_LARGE,
+        f'the body is larger than {limit} bytes',
+        field='body',
+        remedy='send a smaller body, or have max_body_bytes raised',
+    )
+
+
+def _request_id(headers: abc.Mapping[str, str]) -> str:
+    # A random part of our own keeps two callers that choose the same id
+    # apart.
+    given = headers.get(border.REQUEST_ID, '')
+    own = uuid.uuid4().hex
+    if not given or not given.isprintable():
+        return own
+    return f'{given[: border.MAX_REQUEST_ID]}-{own[:8]}'
+
+
+def _json(value: object) -> bytes:
+    cherrypy.response.headers['Content-Type'] = JSON
+    return json.dumps(value).encode()
+
+
+def error_document(
+    failure: exceptions.Failure, request_id: str
+) -> dict[str, typing.Any]:
+    """Return the JSON document of an error."""
+    return {
+        'error': {
+            'code': int(failure.code),
+            'type': failure.code.name.lower(),
+            'message': failure.detail,
+            'param': failure.field or None,
+            'remedy': failure.remedy or None,
+            'outcome': failure.outcome.value,
+            'request_id': request_id,
+        }
+    }
+
+
+def _error(failure: exceptions.Failure, request_id: str) -> bytes:
+    response = cherrypy.response
+    response.status = failure.http_status
+    response.headers['Aspenfold-Outcome'] = failure.outcome.value
+    response.headers['Aspenfold-Code'] = str(int(failure.code))
+    if failure.retry_after is not None:
+        seconds = math.ceil(failure.retry_after.total_seconds())
+        response.headers['Retry-After'] = str(max(1, seconds))
+    return _json(error_document(failure, request_id))
+
+
+def _sse_items(chunk: reply_module.Chunk) -> bytes:
+    return b''.join(
+        b'id: %d\ndata: %s\n\n' % (number, item)
+        for number, item in enumerate(chunk.items, start=chunk.first)
+    )
+
+
+def _sse_end(total: int) -> bytes:
+    # Its id is the count of items before it, so that a caller can check
+    # that none is missing.
+    return b'id: %d\ndata: [DONE]\n\n' % total
+
+
+def _sse_error(failure: exceptions.Failure, request_id: str) -> bytes:
+    document = json.dumps(error_document(failure, request_id))
+    return f'event: error\ndata: {document}\n\n'.encode()
+
+
+class HttpServer:
+    """CherryPy's server around the API."""
+
+    def __init__(self, *, api: Api, cfg: settings.EntrySettings) -> None:
+        self._api = api
+        self._cfg = cfg
+
+    def start(self) -> int:
+        """Listen and return the port."""
+        logging.getLogger('cherrypy').setLevel(logging.CRITICAL)
+        cfg = self._cfg
+        cherrypy.config.update(
+            {
+                'environment': 'embedded',
+                'log.screen': False,
+                'server.socket_host': str(cfg.listen.address),
+                'server.socket_port': cfg.listen.port,
+                'server.thread_pool': cfg.http_threads,
+                'server.socket_timeout': SLOW_READ_TIMEOUT,
+                'server.max_request_header_size': cfg.max_header_bytes,
+                'server.max_request_body_size': 0,
+                'request.process_request_body': False,
+            }
+        )
+        cherrypy.tree.mount(self._api, '/')
+        cherrypy.server.subscribe()
+        try:
+            cherrypy.engine.start()
+        except Exception as exc:
+            raise exceptions.SettingsError(
+                exceptions.Failure(
+                    code=exceptions.Code.PORT_UNAVAILABLE,
+                    detail=f'cannot listen on {cfg.listen.url}: {exc}',
+                    field='listen.port',
+                    remedy='choose a free port, or 0 for any',
+                )
+            ) from exc
+        return int(cherrypy.server.httpserver.bind_addr[1])
+
+    def stop(self) -> None:
+        """Close the server; requests under way are waited for before."""
+        cherrypy.engine.exit()
--- /dev/null
+++ b/src/aspenfold/_internal/network/log_client.py
@@ -0,0 +1,74 @@
+"""The platform's append-only log by its HTTP protocol."""
+
+import typing
+
+from aspenfold._internal.configuration import reader
+from aspenfold._internal import exceptions
+from aspenfold._internal.models import records
+from aspenfold._internal.network import http
+
+LONG_POLL_MS = 2000
+POOL_SIZE = 8
+MARGIN = 3.0
+"""Seconds that a long poll may take beyond its wait."""
+
+
+class LogClient:
+    """Appends to and reads from streams; blocks, so run it in a thread."""
+
+    def __init__(self, *, base_url: str) -> None:
+        self._pool = http.pool(base_url, size=POOL_SIZE)
+
+    def append(self, stream: str, record: records.Record) -> int:
+        """Append a record and return its offset.
+
+        Raises LogUnavailable; the append may then have taken effect.
+        """
+        body = record.model_dump(mode='json')
+        return int(self._call('POST', stream, '', body)['offset'])
+
+    def read(
+        self, stream: str, start: int, *, wait_ms: int = 0
+    ) -> reader.Page:
+        """Read from offset ``start``, waiting for news if there is none."""
+        query = f'?from={start}&wait_ms={wait_ms}'
+        data = self._call('GET', stream, query, None, wait_ms / 1000)
+        return reader.Page(
+            records=[
+                reader.LogRecord(offset=row['offset'], body=row['body'])
+                for row in data['records']
+            ],
+            first=data['first'],
+            next=data['next'],
+        )
+
+    def read_all(self, stream: str, start: int = 1) -> list[reader.Page]:
+        """Read every page from ``start`` to the end of the stream."""
+        pages = []
+        while True:
+            page = self.read(stream, start)
+            pages.append(page)
+            if not page.records:
+                return pages
+            start = page.records[-1].offset + 1
+
+    def _call(
+        self,
+        method: str,
+        stream: str,
+        query: str,
+        body: object,
+        wait: float = 0.0,
+    ) -> typing.Any:
+        try:
+            return http.call_json(
+                self._pool,
+                method,
+                f'/streams/{stream}{query}',
+                body=body,
+                read_timeout=wait + MARGIN,
+            )
+        except http.ServiceError as exc:
+            raise exceptions.LogUnavailable(
+                f'the log service did not answer: {exc}'
+            ) from exc
--- /dev/null
+++ b/src/aspenfold/_internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events and metrics."""
--- /dev/null
+++ b/src/aspenfold/_internal/processes/__init__.py
@@ -0,0 +1,1 @@
+"""The programs' shells: they carry out what the kernels decide."""
--- /dev/null
+++ b/src/aspenfold/_internal/processes/entry.py
@@ -0,0 +1,546 @@
+"""The entry's process: callers' HTTP in front, agents behind."""
+
+import asyncio
+from collections import abc
+import concurrent.futures
+import datetime
+import json
+import random
+import secrets
+import signal
+import typing
+
+import grpclib.server
+import orjson
+
+from aspenfold._internal import admission
+from aspenfold._internal.calls import actions
+from aspenfold._internal.calls import kernel as entry_kernel
+from aspenfold._internal.claims import ticket as ticket_module
+from aspenfold._internal.configuration import fold
+from aspenfold._internal.configuration import reader
+from aspenfold._internal.configuration import state as state_module
+from aspenfold._internal import exceptions
+from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.leases import duties as duties_module
+from aspenfold._internal.models import hosts
+from aspenfold._internal.models import records
+from aspenfold._internal.models import settings
+from aspenfold._internal.network import agent_client
+from aspenfold._internal.network import auth
+from aspenfold._internal.network import border
+from aspenfold._internal.network import host_list_client
+from aspenfold._internal.network import http_edge
+from aspenfold._internal.network import listen
+from aspenfold._internal.network import log_client
+from aspenfold._internal.network import reply as reply_module
+from aspenfold._internal.observability import events
+from aspenfold._internal.observability import metrics
+from aspenfold._internal.processes import log_tail
+from aspenfold._internal.processes import peer_service
+from aspenfold._internal.processes import status
+from aspenfold._internal.processes import watcher
+from aspenfold._internal import retries
+from aspenfold._internal import routing
+from aspenfold._internal.rpc import aspenfold_pb2 as pb
+
+PLUGINS = (admission, retries, routing)
+"""Importing these packages registered their policies."""
+
+TICK = 0.02
+HOST_LIST_INTERVAL = 0.5
+DUTY_INTERVAL = 0.5
+PEER_INTERVAL = 1.0
+IO_THREADS = 8
+ADMIN_TIMEOUT = 5.0
+TICKET_LIFE = datetime.timedelta(minutes=10)
+TICKET_BYTES = 12
+LINGER = 0.2
+
+_Result = typing.TypeVar('_Result')
+
+
+class EntryProcess:
+    """Carries out the entry kernel's actions."""
+
+    def __init__(
+        self, *, cfg: settings.EntrySettings, clock: clock_module.Clock
+    ) -> None:
+        self.name = cfg.name
+        self.cfg = cfg
+        self.clock = clock
+        self.metrics = metrics.Metrics()
+        self._rng = random.Random(secrets.randbits(128))
+        self.kernel = entry_kernel.EntryKernel(
+            name=cfg.name,
+            zone=cfg.availability_zone,
+            system_key=cfg.system_key,
+            claim_streams=cfg.claim_streams,
+            rng=self._rng,
+        )
+        self.listing = hosts.HostList(version=0, hosts=[])
+        self._border = border.Border()
+        self._loop = asyncio.get_running_loop()
+        self._executor = concurrent.futures.ThreadPoolExecutor(IO_THREADS)
+        self._log = log_client.LogClient(base_url=cfg.platform.log.url)
+        self._tail = log_tail.LogTail(
+            client=self._log,
+            streams=cfg.claim_streams + 1,
+            rng=self._rng,
+            lost=self.kernel.log_lost,
+        )
+        self._claims = log_tail.ClaimWriter(
+            name=cfg.name,
+            client=self._log,
+            clock=clock,
+            new_id=self.kernel.new_id,
+            executor=self._executor,
+        )
+        self._host_list = host_list_client.HostListClient(
+            base_url=cfg.platform.host_list.url
+        )
+        self.clients = agent_client.AgentClients(system_key=cfg.system_key)
+        self._duties = duties_module.Duties(
+            name=cfg.name,
+            rng=self._rng,
+            snapshot_interval=cfg.snapshot_interval_ms
+            * clock_module.MILLISECOND,
+        )
+        self.watcher = watcher.Watcher(entry=self)
+        self._replies: dict[str, reply_module.Reply] = {}
+        self._started: dict[str, tuple[str, str, datetime.datetime]] = {}
+        self._legs: dict[int, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._stop = asyncio.Event()
+        self._add_gauges()
+
+    async def run(self) -> None:
+        """Serve until a signal, then finish what is in flight."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stop.set)
+        peers = grpclib.server.Server([peer_service.PeerService(entry=self)])
+        auth.guard(peers, self.cfg.system_key)
+        peer_port = await listen.start(
+            peers, self.cfg.peer_listen, 'peer_listen'
+        )
+        api = http_edge.Api(loop=self, cfg=self.cfg, clock=self.clock)
+        server = http_edge.HttpServer(api=api, cfg=self.cfg)
+        port = server.start()
+        self._start_tasks()
+        print(
+            json.dumps(
+                {'ready': self.name, 'port': port, 'peer_port': peer_port}
+            ),
+            flush=True,
+        )
+        events.emit(events.Event.STARTED, process='entry', name=self.name)
+        await self._stop.wait()
+        await self._drain()
+        await self._loop.run_in_executor(None, server.stop)
+        peers.close()
+        for task in list(self._tasks):
+            task.cancel()
+        self._tail.close()
+        self.clients.close()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        events.emit(events.Event.STOPPED, name=self.name)
+
+    # -- from the HTTP edge's threads ------------------------------------
+
+    def submit(self, raw: border.RawRequest) -> reply_module.Reply:
+        """Hand over a request; its answer comes on the reply."""
+        reply = reply_module.Reply(loop=self._loop)
+        self._loop.call_soon_threadsafe(self._submit, raw, reply)
+        return reply
+
+    def caller_left(self, request_id: str) -> None:
+        """The caller closed its connection."""
+        self._loop.call_soon_threadsafe(self._caller_left, request_id)
+
+    def admin(
+        self, name: str, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        """Run one of the small synchronous requests on the loop."""
+        handlers = {
+            'status': lambda: status.report(self),
+            'ready': self._ready,
+            'ticket': lambda: self._ticket(body),
+            'explain': lambda: status.explain(self, body),
+        }
+        return self._on_loop(handlers[name])
+
+    def metrics_text(self) -> bytes:
+        """Return the metrics as text."""
+        return self._on_loop(self.metrics.text)
+
+    def _on_loop(self, work: abc.Callable[[], _Result]) -> _Result:
+        async def run() -> _Result:
+            return work()
+
+        future = asyncio.run_coroutine_threadsafe(run(), self._loop)
+        return future.result(ADMIN_TIMEOUT)
+
+    # -- calls -----------------------------------------------------------
+
+    def _submit(
+        self, raw: border.RawRequest, reply: reply_module.Reply
+    ) -> None:
+        fleet = self.kernel.fleet
+        if fleet is None:
+            failure = exceptions.Failure(
+                code=exceptions.Code.NO_FLEET,
+                detail='this entry has no configuration yet',
+                remedy='apply a fleet, or try another entry host',
+                retry_after=datetime.timedelta(seconds=1),
+            )
+            reply.put(reply_module.Failed(failure=failure))
+            return
+        self._border.use(fleet)
+        try:
+            call = self._border.call(raw)
+        except exceptions.RequestError as exc:
+            self.metrics.count('refusals', str(int(exc.failure.code)))
+            reply.put(reply_module.Failed(failure=exc.failure))
+            return
+        self._replies[call.call_id] = reply
+        self._started[call.call_id] = (
+            call.priority.value,
+            call.organisation,
+            call.received_at,
+        )
+        self.apply(self.kernel.submit(call, self.clock.now()))
+
+    def _caller_left(self, request_id: str) -> None:
+        if self._replies.pop(request_id, None) is None:
+            return
+        self._started.pop(request_id, None)
+        events.emit(events.Event.CALLER_LEFT, call=request_id)
+        self.apply(self.kernel.caller_left(request_id))
+
+    def _ticket(self, body: dict[str, typing.Any]) -> dict[str, typing.Any]:
+        fleet = self.kernel.fleet
+        if fleet is not None:
+            self._border.use(fleet)
+        organisation = self._border.authenticate(body['headers'])
+        service = body.get('service')
+        now = self.clock.now()
+        candidates = self.kernel.view.routable(str(service), now)
+        if not candidates:
+            raise exceptions.RequestError(
+                exceptions.Failure(
+                    code=exceptions.Code.NO_ENDPOINT,
+                    detail=f'no endpoint of {service!r} takes work now',
+                    field='service',
+                    remedy='name a service of the fleet, or come back',
+                    retry_after=datetime.timedelta(seconds=1),
+                )
+            )
+        chosen = min(candidates, key=lambda c: c.pressure)
+        ticket = ticket_module.Ticket(
+            organisation=organisation.name,
+            endpoint=chosen.name,
+            incarnation=chosen.incarnation,
+            nonce=secrets.token_hex(TICKET_BYTES),
+            expires=now + TICKET_LIFE,
+        )
+        return {
+            'idempotency_key': ticket_module.mint(ticket, self.cfg.system_key),
+            'expires': ticket.expires.isoformat(),
+        }
+
+    def apply(self, result: list[actions.Action]) -> None:
+        """Carry out the kernel's actions."""
+        for action in result:
+            match action:
+                case actions.OpenLeg():
+                    task = self._loop.create_task(self._run_leg(action))
+                    self._legs[action.leg] = task
+                case actions.CloseLeg(leg=leg):
+                    self._close_leg(leg)
+                case actions.CancelAttempt(host=host, attempt_id=attempt):
+                    self.spawn(
+                        self.clients.cancel(
+                            str(host.address), host.port, attempt
+                        )
+                    )
+                case actions.AppendClaim(stream=stream, claim=claim):
+                    self._claims.append(stream, claim)
+                case actions.DeliverHead(call_id=call_id, head=head):
+                    self._put(call_id, head)
+                case actions.DeliverItems():
+                    part = reply_module.Chunk(
+                        first=action.first, items=action.items
+                    )
+                    self._put(action.call_id, part)
+                case actions.Finish(call_id=call_id, total=total):
+                    self._end(call_id, reply_module.Whole(total=total))
+                case actions.Fail(call_id=call_id, failure=failure):
+                    self._end(call_id, reply_module.Failed(failure=failure))
+
+    def _put(self, call_id: str, part: reply_module.Part) -> None:
+        reply = self._replies.get(call_id)
+        if reply is not None:
+            reply.put(part)
+
+    def _end(
+        self,
+        call_id: str,
+        part: reply_module.Whole | reply_module.Failed,
+    ) -> None:
+        self._put(call_id, part)
+        self._replies.pop(call_id, None)
+        started = self._started.pop(call_id, None)
+        if started is not None:
+            priority, organisation, since = started
+            taken = self.clock.now() - since
+            self.metrics.latency(priority, organisation, taken)
+        if isinstance(part, reply_module.Failed):
+            code = int(part.failure.code)
+            self.metrics.count('refusals', str(code))
+            events.emit(events.Event.CALL_FAILED, call=call_id, code=code)
+            return
+        self.metrics.count('answers', 'whole')
+        events.emit(events.Event.CALL_FINISHED, call=call_id)
+
+    async def _run_leg(self, action: actions.OpenLeg) -> None:
+        host = action.host
+        events.emit(
+            events.Event.ATTEMPT_OPENED,
+            call=action.request.call_id,
+            attempt=action.request.attempt_id,
+            endpoint=host.name,
+        )
+        reply = self._replies.get(action.request.call_id)
+        sent = True
+        try:
+            async for frame in self.clients.execute(
+                str(host.address), host.port, action.request
+            ):
+                now = self.clock.now()
+                self.apply(self.kernel.frame(action.leg, frame, now))
+                if reply is not None:
+                    await reply.room()
+        except agent_client.LegLost as exc:
+            sent = exc.sent
+        if self._legs.pop(action.leg, None) is None:
+            return
+        events.emit(
+            events.Event.ATTEMPT_LOST,
+            call=action.request.call_id,
+            attempt=action.request.attempt_id,
+            endpoint=host.name,
+            sent=sent,
+        )
+        self.apply(self.kernel.leg_lost(action.leg, sent, self.clock.now()))
+
+    def _close_leg(self, leg: int) -> None:
+        task = self._legs.pop(leg, None)
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+
+    # -- platform --------------------------------------------------------
+
+    def _start_tasks(self) -> None:
+        state = self.kernel.fleet_reader
+        self.spawn(
+            self._tail.follow(
+                records.FLEET_STREAM,
+                lambda: state.position,
+                self._take_fleet,
+            )
+        )
+        for index in range(self.cfg.claim_streams):
+            self._follow_claims(records.claim_stream(index))
+        self.spawn(self._tick())
+        self.spawn(self._read_hosts())
+        self.spawn(self._do_duties())
+        self.spawn(self._ask_peers())
+        self.spawn(self.watcher.run())
+
+    def _follow_claims(self, stream: str) -> None:
+        def take(page: reader.Page) -> None:
+            now = self.clock.now()
+            self.apply(self.kernel.claims_page(stream, page, now))
+
+        self.spawn(
+            self._tail.follow(
+                stream, lambda: self.kernel.claims_position(stream), take
+            )
+        )
+
+    def _take_fleet(self, page: reader.Page) -> None:
+        for judged in self.kernel.fleet_page(page):
+            offset = judged.record.offset
+            kind = judged.record.body.get('type')
+            if kind == 'snapshot':
+                self._duties.snapshot_seen(offset, self.clock.now())
+            if judged.verdict is not fold.Verdict.ACCEPTED:
+                events.emit(
+                    events.Event.RECORD_REJECTED,
+                    offset=offset,
+                    kind=kind,
+                    verdict=judged.verdict.value,
+                )
+            elif kind == 'config':
+                events.emit(events.Event.CONFIG_IN_FORCE, version=offset)
+
+    async def _read_hosts(self) -> None:
+        lost = False
+        while True:
+            try:
+                listing = await self._loop.run_in_executor(
+                    self._executor, self._host_list.read
+                )
+            except exceptions.AspenfoldError as exc:
+                if not lost:
+                    events.emit(events.Event.HOST_LIST_LOST, detail=str(exc))
+                lost = True
+            else:
+                lost = False
+                self.listing = listing
+                self.kernel.listed(listing)
+            await asyncio.sleep(HOST_LIST_INTERVAL)
+
+    async def _do_duties(self) -> None:
+        while True:
+            await asyncio.sleep(DUTY_INTERVAL)
+            reading = self.kernel.fleet_reader
+            if not self.kernel.log_up or reading.recovering:
+                continue
+            for record in self._duties.tick(reading.state, self.clock.now()):
+                await self._append(record)
+
+    async def _append(self, record: records.Record) -> None:
+        try:
+            offset = await self._loop.run_in_executor(
+                self._executor,
+                self._log.append,
+                records.FLEET_STREAM,
+                record,
+            )
+        except exceptions.LogUnavailable:
+            # Its fate shows when the stream is read.
+            return
+        events.emit(
+            events.Event.RECORD_WRITTEN,
+            offset=offset,
+            kind=getattr(record, 'type', ''),
+        )
+
+    async def _ask_peers(self) -> None:
+        while True:
+            await asyncio.sleep(PEER_INTERVAL)
+            if self.kernel.log_up and self.kernel.fleet is not None:
+                continue
+            peers = self._peer_addresses()
+            if peers:
+                await self._ask_peer(*self._rng.choice(peers))
+
+    def _peer_addresses(self) -> list[tuple[str, int]]:
+        listed = [
+            (str(host.address), host.peer_port)
+            for host in self.listing.hosts
+            if host.role is hosts.Role.ENTRY
+            and host.name != self.name
+            and host.peer_port
+        ]
+        configured = [(str(p.address), p.port) for p in self.cfg.peers]
+        return listed + configured
+
+    async def _ask_peer(self, address: str, port: int) -> None:
+        have = self.kernel.fleet_reader.state.next_offset
+        try:
+            reply = await self.clients.fleet(address, port, have)
+        except agent_client.LOST:
+            return
+        if not reply.state:
+            return
+        state = state_module.FleetState.from_json(orjson.loads(reply.state))
+        if self.kernel.adopt(state):
+            events.emit(
+                events.Event.PEER_ADOPTED,
+                offset=state.next_offset,
+                version=state.version,
+            )
+
+    def fleet_since(self, have_offset: int) -> pb.FleetReply:
+        """Return this entry's fleet state if it is further on."""
+        state = self.kernel.fleet_reader.state
+        if state.next_offset <= have_offset:
+            return pb.FleetReply(offset=state.next_offset)
+        return pb.FleetReply(
+            offset=state.next_offset, state=orjson.dumps(state.to_json())
+        )
+
+    # -- life ------------------------------------------------------------
+
+    def spawn(
+        self, coroutine: abc.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> None:
+        """Run a coroutine; what it raises is logged."""
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+
+    def _task_done(self, task: asyncio.Task[typing.Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        events.emit(events.Event.UNEXPECTED, error=repr(task.exception()))
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK)
+            self.apply(self.kernel.tick(self.clock.now()))
+
+    def _ready(self) -> dict[str, typing.Any]:
+        state = self.kernel.fleet_reader.state
+        ready = state.version > 0 and not self.kernel.draining
+        return {
+            'ready': ready,
+            'version': state.version,
+            'draining': self.kernel.draining,
+        }
+
+    async def _drain(self) -> None:
+        events.emit(events.Event.DRAINING, name=self.name)
+        self.kernel.draining = True
+        try:
+            async with asyncio.timeout(self.cfg.drain_limit_ms / 1000):
+                while self._replies:
+                    await asyncio.sleep(TICK)
+        except TimeoutError:
+            events.emit(events.Event.DRAIN_LIMIT, name=self.name)
+            self._cut_all()
+        # Threads still write out the last parts of finished answers.
+        await asyncio.sleep(LINGER)
+
+    def _cut_all(self) -> None:
+        failure = exceptions.Failure(
+            code=exceptions.Code.FATE_UNKNOWN,
+            detail='the entry reached its drain limit',
+            remedy='submit again at another entry with the same key',
+        )
+        for call_id in list(self._replies):
+            self.apply(self.kernel.caller_left(call_id))
+            self._end(call_id, reply_module.Failed(failure=failure))
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge('in_flight', lambda: self.kernel.in_flight)
+        gauge(
+            'config_version',
+            lambda: self.kernel.fleet_reader.state.version,
+        )
+        gauge('log_up', lambda: float(self.kernel.log_up))
+
+
+def run(cfg: settings.EntrySettings) -> None:
+    """Run an entry until it is told to stop."""
+    events.configure(cfg.log_file)
+
+    async def main() -> None:
+        process = EntryProcess(cfg=cfg, clock=clock_module.SystemClock())
+        await process.run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/src/aspenfold/_internal/processes/group_member.py
@@ -0,0 +1,188 @@
+"""An agent's part in a rank group: the machines, wired to I/O."""
+
+import asyncio
+from collections import abc
+import random
+import typing
+
+from aspenfold._internal.expertmaps import leader as leader_module
+from aspenfold._internal.expertmaps import messages
+from aspenfold._internal.expertmaps import rank as rank_module
+from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.network import agent_client
+from aspenfold._internal.network import codec
+from aspenfold._internal.network import endpoint_client
+from aspenfold._internal.observability import events
+from aspenfold._internal.rpc import aspenfold_pb2 as pb
+
+POLL = 0.1
+"""Seconds between two looks at the engine's step."""
+
+Spawn = abc.Callable[[abc.Coroutine[typing.Any, typing.Any, None]], None]
+
+
+class GroupMember:
+    """Runs the rank's machine, and the leader's on the first rank."""
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        rank: int,
+        incarnation: str,
+        clock: clock_module.Clock,
+        rng: random.Random,
+        clients: agent_client.AgentClients,
+        endpoint: endpoint_client.EndpointClient,
+        spawn: Spawn,
+    ) -> None:
+        self._group = group
+        self._number = rank
+        self._incarnation = incarnation
+        self._clock = clock
+        self._rng = rng
+        self._clients = clients
+        self._endpoint = endpoint
+        self._spawn = spawn
+        self._addresses: dict[int, tuple[str, int]] = {}
+        self._rank: rank_module.RankMachine | None = None
+        self._leader: leader_module.LeaderMachine | None = None
+        self._plan: tuple[int, leader_module.Placement] = (0, ())
+        self.expert_load: list[float] = []
+
+    @property
+    def map_version(self) -> int:
+        """The newest plan that this agent was told."""
+        return self._plan[0]
+
+    @property
+    def map_in_use(self) -> int:
+        """The map version of the step under way, 0 for none."""
+        return self._rank.map_in_use if self._rank else 0
+
+    async def run(self) -> None:
+        """Follow the engine and keep the protocol going, for ever."""
+        while self._rank is None:
+            await self._begin()
+            await asyncio.sleep(POLL)
+        while True:
+            await self._follow_engine(self._rank)
+            if self._leader is not None:
+                self._apply(self._leader.tick(self._clock.now()))
+            await asyncio.sleep(POLL)
+
+    def receive(self, message: messages.Message) -> None:
+        """Take a message from another agent of the group."""
+        if message.kind in (
+            messages.Kind.RECRUIT,
+            messages.Kind.PREPARE,
+            messages.Kind.GRANT,
+        ):
+            if self._rank is not None:
+                self._apply(self._rank.receive(message))
+        elif self._leader is not None:
+            self._apply(self._leader.receive(message))
+
+    def told(self, request: pb.ReportRequest) -> None:
+        """Take the ranks' addresses and the newest plan from an entry."""
+        for rank in request.ranks:
+            self._addresses[rank.rank] = (rank.address, rank.port)
+        if request.map_version <= self.map_version:
+            return
+        if not request.placement:
+            return
+        placement = codec.placement_from_bytes(request.placement)
+        self._plan = (request.map_version, placement)
+        if self._leader is not None:
+            self._apply(self._leader.plan(*self._plan))
+
+    async def _begin(self) -> None:
+        state = await self._endpoint.state()
+        if state is None:
+            return
+        self._rank = rank_module.RankMachine(
+            group=self._group,
+            rank=self._number,
+            incarnation=self._incarnation,
+            runs=[
+                messages.Run(first=first, last=last, version=version)
+                for first, last, version in state['runs']
+            ],
+            prepared=state['prepared'],
+            step=state['step'],
+        )
+
+    def _ensure_leader(self) -> None:
+        if self._number != 0 or self._leader is not None:
+            return
+        version, placement = self._plan
+        if not version:
+            return
+        self._leader = leader_module.LeaderMachine(
+            group=self._group, ranks=len(placement), rng=self._rng
+        )
+        self._leader.plan(version, placement)
+
+    async def _follow_engine(self, rank: rank_module.RankMachine) -> None:
+        self._ensure_leader()
+        state = await self._endpoint.state()
+        if state is None:
+            return
+        self.expert_load = state.get('expert_load', [])
+        self._apply(rank.engine_step(state['step']))
+
+    def _apply(self, actions: list[messages.Action]) -> None:
+        for action in actions:
+            match action:
+                case messages.SendMessage():
+                    self._send(action.message)
+                case messages.OrderPrepare():
+                    self._spawn(self._prepare(action))
+                case messages.OrderGrant():
+                    self._spawn(self._grant(action))
+
+    def _send(self, message: messages.Message) -> None:
+        if message.target == self._number:
+            asyncio.get_running_loop().call_soon(self.receive, message)
+            return
+        address = self._addresses.get(message.target)
+        if address is not None:
+            self._spawn(self._clients.group(*address, message))
+
+    async def _prepare(self, action: messages.OrderPrepare) -> None:
+        taken = await self._endpoint.order(
+            {
+                'order': 'prepare',
+                'fencing': action.fencing,
+                'version': action.version,
+                'experts': list(action.experts),
+            }
+        )
+        assert self._rank is not None
+        if not taken:
+            self._order_refused('prepare', action.fencing)
+            self._rank.engine_prepare_failed(action.version)
+            return
+        self._apply(self._rank.engine_prepared(action.version))
+
+    async def _grant(self, action: messages.OrderGrant) -> None:
+        taken = await self._endpoint.order(
+            {
+                'order': 'grant',
+                'fencing': action.fencing,
+                'first': action.run.first,
+                'last': action.run.last,
+                'version': action.run.version,
+            }
+        )
+        if not taken:
+            self._order_refused('grant', action.fencing)
+
+    def _order_refused(self, order: str, fencing: int) -> None:
+        events.emit(
+            events.Event.ORDER_REFUSED,
+            group=self._group,
+            rank=self._number,
+            order=order,
+            fencing=fencing,
+        )
--- /dev/null
+++ b/src/aspenfold/_internal/retries/policy.py
@@ -0,0 +1,19 @@
+"""The interface of retry policies."""
+
+import datetime
+import random
+import typing
+
+KIND = 'retry'
+
+
+class RetryPolicy(typing.Protocol):
+    """Decides whether a safe retry is made and how long to wait."""
+
+    def __init__(self, *, rng: random.Random) -> None: ...
+
+    def request(self) -> None:
+        """Count a first attempt."""
+
+    def retry(self, attempt: int) -> datetime.timedelta | None:
+        """Return the wait before attempt ``attempt``, None for no retry."""
--- /dev/null
+++ b/src/aspenfold/_internal/retries/unbounded.py
@@ -0,0 +1,26 @@
+"""The naive baseline: retry at once, a fixed number of times."""
+
+import datetime
+import random
+
+from aspenfold._internal.kernel import registry
+from aspenfold._internal.retries import policy
+
+MAX_ATTEMPTS = 4
+
+
+@registry.register(policy.KIND, 'naive')
+class Naive:
+    """Retries without a budget."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        pass
+
+    def request(self) -> None:
+        """Nothing is counted."""
+
+    def retry(self, attempt: int) -> datetime.timedelta | None:
+        """Return no wait until the attempts are used up."""
+        if attempt > MAX_ATTEMPTS:
+            return None
+        return datetime.timedelta(0)
--- /dev/null
+++ b/src/aspenfold/_internal/routing/__init__.py
@@ -0,0 +1,7 @@
+"""Choosing an endpoint; importing this package registers the policies."""
+
+from aspenfold._internal.routing import random_choice as _random_choice
+from aspenfold._internal.routing import round_robin as _round_robin
+from aspenfold._internal.routing import two_choices as _two_choices
+
+__all__ = ['_random_choice', '_round_robin', '_two_choices']
--- /dev/null
+++ b/src/aspenfold/_internal/routing/random_choice.py
@@ -0,0 +1,24 @@
+"""The simplest baseline: any endpoint, whatever its load."""
+
+from collections import abc
+import random
+
+from aspenfold._internal.kernel import registry
+from aspenfold._internal.membership import endpoint as endpoint_module
+from aspenfold._internal.routing import policy
+
+
+@registry.register(policy.KIND, 'random')
+class RandomChoice:
+    """Chooses uniformly."""
+
+    def __init__(self, *, zone: str, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self,
+        candidates: abc.Sequence[endpoint_module.Endpoint],
+        prefix: str,
+    ) -> endpoint_module.Endpoint:
+        """Return any candidate."""
+        return self._rng.choice(candidates)
--- /dev/null
+++ b/src/aspenfold/_internal/routing/round_robin.py
@@ -0,0 +1,25 @@
+"""A baseline that takes the endpoints in turn."""
+
+from collections import abc
+import itertools
+import random
+
+from aspenfold._internal.kernel import registry
+from aspenfold._internal.membership import endpoint as endpoint_module
+from aspenfold._internal.routing import policy
+
+
+@registry.register(policy.KIND, 'round-robin')
+class RoundRobin:
+    """Chooses the endpoints one after the other."""
+
+    def __init__(self, *, zone: str, rng: random.Random) -> None:
+        self._turn = itertools.count(rng.randrange(1 << 16))
+
+    def choose(
+        self,
+        candidates: abc.Sequence[endpoint_module.Endpoint],
+        prefix: str,
+    ) -> endpoint_module.Endpoint:
+        """Return the next candidate in turn."""
+        return candidates[next(self._turn) % len(candidates)]
--- /dev/null
+++ b/src/aspenfold/_internal/routing/two_choices.py
@@ -0,0 +1,72 @@
+"""Two random choices by true load, own zone first, prefix affinity."""
+
+from collections import abc
+import random
+
+from aspenfold._internal.kernel import registry
+from aspenfold._internal.membership import endpoint as endpoint_module
+from aspenfold._internal.routing import policy
+from aspenfold._internal.routing import subset
+
+SPILL_PRESSURE = 0.8
+"""Mean pressure of the own zone above which other zones take a share."""
+
+AFFINITY_BOUND = 1.25
+"""The prefix's home is used up to this multiple of the mean pressure."""
+
+AFFINITY_SLACK = 0.15
+"""Added to the bound, so that near-idle endpoints keep their prefixes."""
+
+
+@registry.register(policy.KIND, 'two-choices')
+class TwoChoices:
+    """Sends to the prefix's home unless it is loaded above the bound."""
+
+    def __init__(self, *, zone: str, rng: random.Random) -> None:
+        self._zone = zone
+        self._rng = rng
+
+    def choose(
+        self,
+        candidates: abc.Sequence[endpoint_module.Endpoint],
+        prefix: str,
+    ) -> endpoint_module.Endpoint:
+        """Return the prefix's home or the less loaded of two."""
+        pool = self._pool(candidates)
+        if prefix:
+            home = self._home(pool, prefix)
+            if home.pressure <= self._bound(pool):
+                return home
+        return self._less_loaded(pool)
+
+    def _pool(
+        self, candidates: abc.Sequence[endpoint_module.Endpoint]
+    ) -> abc.Sequence[endpoint_module.Endpoint]:
+        own = [c for c in candidates if c.zone == self._zone]
+        if not own:
+            return candidates
+        mean = _mean_pressure(own)
+        if mean <= SPILL_PRESSURE:
+            return own
+        # Above the bound the excess share of requests may go anywhere.
+        stay = SPILL_PRESSURE / mean
+        return own if self._rng.random() < stay else candidates
+
+    def _home(
+        self, pool: abc.Sequence[endpoint_module.Endpoint], prefix: str
+    ) -> endpoint_module.Endpoint:
+        return max(pool, key=lambda c: subset.score(prefix, c.name))
+
+    def _bound(self, pool: abc.Sequence[endpoint_module.Endpoint]) -> float:
+        return _mean_pressure(pool) * AFFINITY_BOUND + AFFINITY_SLACK
+
+    def _less_loaded(
+        self, pool: abc.Sequence[endpoint_module.Endpoint]
+    ) -> endpoint_module.Endpoint:
+        one = self._rng.choice(pool)
+        two = self._rng.choice(pool)
+        return one if one.pressure <= two.pressure else two
+
+
+def _mean_pressure(pool: abc.Sequence[endpoint_module.Endpoint]) -> float:
+    return sum(c.pressure for c in pool) / len(pool)
--- /dev/null
+++ b/src/aspenfold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The programs' command lines; all that they do is in ``_internal``."""
--- /dev/null
+++ b/src/aspenfold/cli/agent.py
@@ -0,0 +1,10 @@
+"""``aspenfold-agent SETTINGS``: stands beside one endpoint."""
+
+from aspenfold._internal.commands import serve
+from aspenfold._internal.models import settings
+from aspenfold._internal.processes import agent
+
+
+def main() -> None:
+    """Run the command line."""
+    serve.main('aspenfold-agent', settings.AgentSettings, agent.run)
--- /dev/null
+++ b/src/aspenfold/cli/operator.py
@@ -0,0 +1,178 @@
+"""``aspenfold``: the operators' command line."""
+
+from collections import abc
+import os
+import sys
+
+import fire
+
+from aspenfold._internal.commands import apply as apply_module
+from aspenfold._internal.commands import audit as audit_module
+from aspenfold._internal.commands import exits
+from aspenfold._internal.commands import inspect as inspect_module
+from aspenfold._internal.commands import output
+from aspenfold._internal.commands import platform as platform_module
+from aspenfold._internal.kernel import clock
+from aspenfold._internal.models import fleet
+from aspenfold._internal.models import settings as settings_module
+
+SETTINGS_VARIABLE = 'ASPENFOLD_SETTINGS'
+
+
+class Operator:
+    """Operate a fleet: validate, diff, apply, inspect, drain.
+
+    Every command takes --json where it prints a table.  The platform's
+    addresses come from the JSON file that --settings or the variable
+    ASPENFOLD_SETTINGS names.
+
+    Exit statuses: 0 done, 1 failed, 2 bad input, 3 conflict, 4 not yet
+    in force everywhere, 5 something does not answer.
+    """
+
+    def __init__(self, settings: str = '') -> None:
+        self._settings = settings or os.environ.get(SETTINGS_VARIABLE, '')
+
+    def validate(self, fleet_file: str) -> None:
+        """Check a fleet file.  Example: aspenfold validate fleet.json"""
+
+        def work() -> exits.Exit:
+            apply_module.load_fleet(fleet_file)
+            print(f'{fleet_file} is a valid fleet')
+            return exits.Exit.OK
+
+        _finish(work)
+
+    def schema(self) -> None:
+        """Print the JSON Schema of the fleet file."""
+        output.document(fleet.Fleet.model_json_schema())
+
+    def diff(self, fleet_file: str, json: bool = False) -> None:
+        """Show what an apply would change."""
+        _finish(
+            lambda: apply_module.DiffCommand(platform=self._platform()).run(
+                fleet_file, as_json=json
+            )
+        )
+
+    def apply(
+        self,
+        fleet_file: str,
+        base: int | None = None,
+        reason: str = '',
+        wait: float = 10.0,
+        json: bool = False,
+    ) -> None:
+        """Put a whole fleet in force, and wait until it is.
+
+        Example: aspenfold apply fleet.json --base 41 --reason 'Easter'
+        """
+        _finish(
+            lambda: apply_module.ApplyCommand(platform=self._platform()).run(
+                fleet_file,
+                base_version=base,
+                reason=str(reason),
+                wait=audit_module.parse_wait(wait),
+                as_json=json,
+            )
+        )
+
+    def show(self) -> None:
+        """Print the fleet in force."""
+        _finish(
+            lambda: inspect_module.ShowCommand(platform=self._platform()).run()
+        )
+
+    def history(self, json: bool = False) -> None:
+        """List the configurations that were accepted."""
+        self.audit(kind='config', verdict='accepted', json=json)
+
+    def audit(
+        self,
+        kind: str = '',
+        author: str = '',
+        since: int = 0,
+        verdict: str = '',
+        json: bool = False,
+    ) -> None:
+        """List every change with who, what, from, to and offset.
+
+        --kind is one of config, lease, map, membership, snapshot.
+        """
+        _finish(
+            lambda: audit_module.AuditCommand(platform=self._platform()).run(
+                kind=kind,
+                author=str(author),
+                since=since,
+                verdict=verdict,
+                as_json=json,
+            )
+        )
+
+    def status(self, json: bool = False) -> None:
+        """Show versions, endpoints, leases, maps, and what is stale."""
+        _finish(
+            lambda: inspect_module.StatusCommand(
+                platform=self._platform()
+            ).run(as_json=json)
+        )
+
+    def drain(
+        self, endpoint: str, reason: str = '', json: bool = False
+    ) -> None:
+        """Give an endpoint no new work; what runs there finishes."""
+        self._member(endpoint, 'draining', reason, json)
+
+    def undrain(
+        self, endpoint: str, reason: str = '', json: bool = False
+    ) -> None:
+        """Give a drained endpoint work again."""
+        self._member(endpoint, 'live', reason, json)
+
+    def explain(
+        self,
+        organisation: str,
+        service: str,
+        operation: str,
+        entry: str = '',
+        json: bool = False,
+    ) -> None:
+        """Show, rule by rule, where such a request would go."""
+        _finish(
+            lambda: inspect_module.ExplainCommand(
+                platform=self._platform()
+            ).run(
+                organisation,
+                service,
+                operation,
+                entry=entry,
+                as_json=json,
+            )
+        )
+
+    def _member(
+        self, endpoint: str, state: str, reason: str, json: bool
+    ) -> None:
+        _finish(
+            lambda: audit_module.MemberCommand(platform=self._platform()).run(
+                endpoint,
+                'draining' if state == 'draining' else 'live',
+                reason=str(reason),
+                as_json=json,
+            )
+        )
+
+    def _platform(self) -> platform_module.Platform:
+        cfg = settings_module.load(
+            self._settings, settings_module.OperatorSettings
+        )
+        return platform_module.Platform(cfg=cfg, clock=clock.SystemClock())
+
+
+def _finish(work: abc.Callable[[], exits.Exit]) -> None:
+    sys.exit(exits.run(work))
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Operator, name='aspenfold')
--- /dev/null
+++ b/tools/serve.py
@@ -0,0 +1,39 @@
+"""``make serve``: the demo's deployment, for a person to play with."""
+
+import pathlib
+import signal
+import sys
+import tempfile
+
+from aspenfold_standins import launcher
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def main() -> int:
+    """Start the deployment that the first argument names, until ^C."""
+    name = sys.argv[1] if len(sys.argv) > 1 else 'partitions'
+    with tempfile.TemporaryDirectory() as directory:
+        deployment = launcher.Deployment(
+            fleet_file=ROOT / 'examples' / f'{name}.json',
+            directory=pathlib.Path(directory),
+        )
+        try:
+            deployment.start()
+            deployment.operate('apply', str(deployment.fleet_file))
+            deployment.wait_for('all ranks', deployment.steps)
+            for entry in deployment.entries():
+                print(f'ENTRY={deployment.children[entry].url}')
+            settings = deployment.operator_settings()
+            print(f'export ASPENFOLD_SETTINGS={settings}')
+            print('press Ctrl-C to stop', flush=True)
+            signal.pause()
+        except KeyboardInterrupt:
+            return 0
+        finally:
+            deployment.stop()
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
