Grant no step number twice in a rank group

Also, every answer of a rank made the leader repeat all that was missing, which multiplied without end.

Ruled out: sending old placements along with promises; it loads weights twice on the replaced rank, behind the weight store's limit.

Change: a promise resets the engine, and a new leader begins beyond every step that an earlier one may have granted. Only the tick repeats.

--- a/src/aspenfold/_internal/attempts/kernel.py
+++ b/src/aspenfold/_internal/attempts/kernel.py
@@ -121,18 +121,14 @@
             return []
         return [actions.CancelEndpoint(attempt_id=attempt_id)]
 
-    def drain(self, token: int) -> None:
-        """Refuse new work from now on; ``token`` fences old orders."""
-        if token < self.drain_token:
+    def ordered(self, order: frames.DrainOrder) -> None:
+        """Take an entry's word on new work; tokens fence old orders."""
+        if order.leaving:
+            self.leave()
+        if self._leaving or order.token < self.drain_token:
             return
-        self.draining = True
-        self.drain_token = token
-
-    def undrain(self, token: int) -> None:
-        """Take new work again, unless a later drain order is known."""
-        if token > self.drain_token and not self._leaving:
-            self.draining = False
-            self.drain_token = token
+        self.draining = order.drain
+        self.drain_token = order.token
 
     def leave(self) -> None:
         """The host goes away: drain, and never take work again."""
--- a/src/aspenfold/_internal/calls/flow.py
+++ b/src/aspenfold/_internal/calls/flow.py
@@ -88,6 +88,10 @@
         self._position = 0
         self._supersedes = ''
         self._held_offset = 0
+        # Whether this call's own attempt holds the key and never runs.
+        # Of another call's sealed attempt that cannot be said: its
+        # owner may claim the key again, and run.
+        self._holds_unrun = False
         if call.key:
             self._scoped = claim_fold.scoped_key(call.organisation, call.key)
 
@@ -108,7 +112,7 @@
             return self._make_attempt(now)
         if ticket_module.is_ticket(self.call.key):
             return self._use_ticket(now)
-        self._position = self._claims().position
+        self._position = self._claims().settled_position(now)
         return self._claim(now, supersedes='')
 
     def on_claims(self, now: datetime.datetime) -> list[actions.Action]:
@@ -152,7 +156,8 @@
         if attempt.mode is frames.Mode.RUN and sent:
             attempt.sent = True
         if attempt.own and not attempt.sent:
-            attempt.never_runs = not self._ticket
+            attempt.never_runs = True
+            self._holds_unrun = True
             return self._again(
                 _failure(
                     Code.ENDPOINT_UNREACHABLE,
@@ -346,6 +351,7 @@
         self.state = State.RUNNING
         self.wake_at = self.call.deadline
         self._supersedes = ''
+        self._holds_unrun = False
         self.endpoint = attempt.endpoint
         self._assembler.begin(attempt.attempt_id)
         self._leg = self._hub.new_leg(self.call.call_id)
@@ -413,14 +419,12 @@
         assert attempt is not None
         if self._ticket is not None:
             return False
-        if self.call.repeatable:
-            return True
-        if not attempt.never_runs:
+        if not attempt.own and self._held_offset >= self._position:
+            # An attempt that was claimed after this call was sent
+            # belongs to a later submission.  Its caller may already have
+            # been told "not run", so this call must not run instead.
             return False
-        # An attempt that was claimed after this call came in belongs to
-        # a later submission.  Its caller may already have been told
-        # "not run", so this call must not run in its stead.
-        return attempt.own or self._held_offset < self._position
+        return self.call.repeatable or attempt.never_runs
 
     def _retry(self, now: datetime.datetime) -> list[actions.Action]:
         assert self._attempt is not None
@@ -485,6 +489,7 @@
             return result
         if failure.outcome is Outcome.NOT_RUN:
             attempt.never_runs = True
+            self._holds_unrun = attempt.own
         result.extend(self._again(failure, now))
         return result
 
@@ -527,7 +532,7 @@
             return failure
         if failure.code in (Code.KEY_REUSED, Code.BAD_TICKET):
             return failure
-        if self.call.key and not self._fate_known():
+        if self.call.key and not self._holds_unrun:
             return undecided(failure)
         if not self._maybe_ran:
             return failure
@@ -537,11 +542,6 @@
             detail=f'{failure.detail}; an attempt may have run',
         )
 
-    def _fate_known(self) -> bool:
-        attempt = self._attempt
-        return attempt is not None and (
-            attempt.never_runs or bool(self._supersedes)
-        )
 
     # -- parts -----------------------------------------------------------
 
--- a/src/aspenfold/_internal/claims/fold.py
+++ b/src/aspenfold/_internal/claims/fold.py
@@ -35,6 +35,14 @@
     at: datetime.datetime
 
 
+SETTLED_AFTER = datetime.timedelta(seconds=5)
+"""Longest time that a request may take from its caller to the kernel.
+
+A request that waited longer, for example in the buffers of a paused
+entry, cannot be told from one that was sent after a key was found free.
+"""
+
+
 class ClaimFold:
     """The holders of the keys of one stream, newest window only."""
 
@@ -45,6 +53,10 @@
         )
         self._judgeable_from: datetime.datetime | None = None
         self._latest: datetime.datetime | None = None
+        self._read: collections.deque[
+            tuple[datetime.datetime, int]
+        ] = collections.deque()
+        self._settled = 1
         self.position = 1
 
     def __len__(self) -> int:
@@ -58,6 +70,16 @@
         """Return the claim that holds ``key`` and where it stands."""
         return self._holders.get(key)
 
+    def settled_position(self, now: datetime.datetime) -> int:
+        """Return the position that was read well before ``now``.
+
+        A request that comes in now was certainly sent after the claims
+        before this position stood in the log.
+        """
+        while self._read and self._read[0][0] <= now - SETTLED_AFTER:
+            _, self._settled = self._read.popleft()
+        return self._settled
+
     def feed(self, page: reader.Page, now: datetime.datetime) -> set[str]:
         """Fold a page read from :attr:`position`; return the keys seen."""
         self._note_trimmed(page, now)
@@ -71,6 +93,9 @@
             for claim in batch.claims:
                 self._fold(claim, record.offset, batch.at)
                 seen.add(claim.key)
+        if seen:
+            self._read.append((now, self.position))
+            self.settled_position(now)
         return seen
 
     def _note_trimmed(self, page: reader.Page, now: datetime.datetime) -> None:
--- a/src/aspenfold/_internal/expertmaps/leader.py
+++ b/src/aspenfold/_internal/expertmaps/leader.py
@@ -26,12 +26,16 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Member:
-    """A rank as this leader knows it under its ballot."""
+    """A rank as this leader knows it under its ballot.
+
+    ``runs``: grants that its engine took under this ballot.
+    """
 
     incarnation: str
-    runs: set[messages.Run]
     prepared: set[int]
     step: int
+    granted_to: int
+    runs: set[messages.Run] = dataclasses.field(default_factory=set)
 
 
 class LeaderMachine:
@@ -44,7 +48,7 @@
         self.granted_to = -1
         self._rng = rng
         self._members: dict[int, _Member] = {}
-        self._plans: dict[int, Placement] = {}
+        self._placement: Placement = ()
         self._newest = 0
         self._runs: list[messages.Run] = []
         self._resend_at: datetime.datetime | None = None
@@ -62,8 +66,8 @@
         if version <= self._newest or len(placement) != self.ranks:
             return []
         self._newest = version
-        self._plans[version] = placement
-        return self._advance() if self._complete else []
+        self._placement = placement
+        return self._prepare_rest() if self._complete else []
 
     def tick(self, now: datetime.datetime) -> list[messages.Action]:
         """Start, or send again what is unanswered."""
@@ -80,7 +84,8 @@
                 for rank in range(self.ranks)
                 if rank not in self._members
             ]
-        result = self._advance()
+        result = self._prepare_rest() + self._grants_missing()
+        result.extend(self._extend())
         if not result and self._heartbeat_due(now):
             result = [
                 self._send(Kind.GRANT, rank) for rank in range(self.ranks)
@@ -101,7 +106,7 @@
         member.prepared.update(message.prepared)
         member.runs.update(message.runs)
         member.step = max(member.step, message.step)
-        return self._advance() if self._complete else []
+        return self._extend() if self._complete else []
 
     def _heartbeat_due(self, now: datetime.datetime) -> bool:
         if self._heartbeat_at is not None and now < self._heartbeat_at:
@@ -137,43 +142,42 @@
             return []
         self._members[message.sender] = _Member(
             incarnation=message.incarnation,
-            runs=set(message.runs),
             prepared=set(message.prepared),
             step=message.step,
+            granted_to=message.granted_to,
         )
         if not self._complete:
             return []
-        self._adopt_grants()
-        return self._advance()
-
-    def _adopt_grants(self) -> None:
-        """Go on from what any rank was granted under earlier ballots."""
-        union: set[messages.Run] = set()
-        for member in self._members.values():
-            union |= member.runs
-        self._runs = sorted(union)
-        steps = [member.step for member in self._members.values()]
-        last = max([run.last for run in self._runs] + steps)
-        # A rank that was replaced may have been granted one run by each
-        # earlier leader that no living rank knows of.  Ballot counters
-        # grow with every leader, so these steps are never granted again.
+        self._begin_beyond()
+        return self._prepare_rest() + self._extend()
+
+    def _begin_beyond(self) -> None:
+        """Choose the first step so that none is granted a second time.
+
+        Each earlier leader may have granted one run that only a rank
+        lost since was told of: it grants the next only when all ranks
+        have confirmed the last.  Ballot counters grow with each leader.
+        """
+        last = max(member.granted_to for member in self._members.values())
         counter = self.ballot >> NONCE_BITS
-        self.granted_to = last + RUN_LENGTH * counter if last >= 0 else -1
+        self.granted_to = last + RUN_LENGTH * counter
 
-    def _advance(self) -> list[messages.Action]:
-        usable = self._prepared_by_all()
-        result = self._prepare_rest()
-        lagging = self._grants_missing()
-        if lagging:
-            result.extend(lagging)
-            return result
+    def _extend(self) -> list[messages.Action]:
+        """Grant the next run once all ranks confirmed the ones before.
+
+        Nothing is sent again here: answers come by the hundred, and only
+        the tick repeats what is missing.
+        """
+        if self._grants_missing():
+            return []
         slowest = min(member.step for member in self._members.values())
-        self._runs = [run for run in self._runs if run.last >= slowest]
+        self._runs = [run for run in self._runs if run.last > slowest]
         left = sum(
             run.last - max(run.first - 1, slowest) for run in self._runs
         )
+        usable = self._prepared_by_all()
         if not usable or left >= EXTEND_BELOW:
-            return result
+            return []
         run = messages.Run(
             first=self.granted_to + 1,
             last=self.granted_to + RUN_LENGTH,
@@ -181,11 +185,10 @@
         )
         self.granted_to = run.last
         self._runs.append(run)
-        result.extend(
+        return [
             self._send(Kind.GRANT, rank, runs=(run,))
             for rank in range(self.ranks)
-        )
-        return result
+        ]
 
     def _prepared_by_all(self) -> int:
         shared = set.intersection(
@@ -194,17 +197,15 @@
         return max(shared, default=0)
 
     def _prepare_rest(self) -> list[messages.Action]:
-        wanted = {self._newest} | {run.version for run in self._runs}
         return [
             self._send(
                 Kind.PREPARE,
                 rank,
-                version=version,
-                placement=self._plans[version],
+                version=self._newest,
+                placement=self._placement,
             )
-            for version in sorted(wanted & set(self._plans))
             for rank, member in self._members.items()
-            if version not in member.prepared
+            if self._newest not in member.prepared
         ]
 
     def _grants_missing(self) -> list[messages.Action]:
--- a/src/aspenfold/_internal/expertmaps/messages.py
+++ b/src/aspenfold/_internal/expertmaps/messages.py
@@ -16,6 +16,9 @@
     REJECTED = 'rejected'
 
 
+TO_RANKS = frozenset((Kind.RECRUIT, Kind.PREPARE, Kind.GRANT))
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True, order=True)
 class Run:
     """Steps ``first`` to ``last``, both included, use map ``version``."""
@@ -32,6 +35,8 @@
     ``incarnation`` is the rank's agent's: empty on RECRUIT, learned from
     PROMISED, and checked by the rank on all other messages, so that
     nothing sent to a replaced rank reaches its replacement.
+    ``granted_to`` is the last step that the rank's engine was granted,
+    ``step`` the last that it finished; -1 for none.
     """
 
     group: str
@@ -43,6 +48,7 @@
     version: int = 0
     runs: tuple[Run, ...] = ()
     prepared: tuple[int, ...] = ()
+    granted_to: int = -1
     step: int = -1
     placement: tuple[tuple[int, ...], ...] = ()
 
@@ -54,6 +60,13 @@
     message: Message
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OrderReset:
+    """Have the engine forget all grants that it has not finished."""
+
+    fencing: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class OrderPrepare:
     """Have the engine load what map ``version`` gives this rank."""
@@ -71,5 +84,5 @@
     fencing: int
 
 
-Action = SendMessage | OrderPrepare | OrderGrant
+Action = SendMessage | OrderReset | OrderPrepare | OrderGrant
 """What the machines ask of their shell."""
--- a/src/aspenfold/_internal/expertmaps/rank.py
+++ b/src/aspenfold/_internal/expertmaps/rank.py
@@ -1,6 +1,6 @@
 """The part of a group's protocol that every rank's agent plays."""
 
-import typing
+from collections import abc
 
 from aspenfold._internal.expertmaps import messages
 
@@ -13,9 +13,8 @@
 class RankMachine:
     """Promises, prepares and takes grants on behalf of one rank's engine.
 
-    ``runs``, ``prepared`` and ``step`` start from what the engine
-    itself still holds, so that an agent's restart beside a living
-    engine forgets no grant.
+    What the engine has is learned from the engine itself, so that an
+    agent's restart beside a living engine forgets nothing.
     """
 
     def __init__(
@@ -24,8 +23,7 @@
         group: str,
         rank: int,
         incarnation: str,
-        runs: typing.Iterable[messages.Run] = (),
-        prepared: typing.Iterable[int] = (),
+        prepared: abc.Iterable[int] = (),
         step: int = -1,
     ) -> None:
         self.group = group
@@ -33,70 +31,121 @@
         self.incarnation = incarnation
         self.promised = 0
         self.step = step
-        self._runs: set[messages.Run] = set(runs)
+        self.map_in_use = 0
+        self._granted_to = -1
+        self._runs: set[messages.Run] = set()
+        self._ordered: set[messages.Run] = set()
         self._prepared: set[int] = set(prepared)
         self._preparing: set[int] = set()
+        self._reset_done = False
         self._leader = 0
         self._told = -1
 
-    @property
-    def runs(self) -> tuple[messages.Run, ...]:
-        """Grants whose steps the engine has not all finished."""
-        return tuple(sorted(self._runs))
-
-    @property
-    def map_in_use(self) -> int:
-        """The map version of the step under way, 0 for none."""
-        for run in self._runs:
-            if run.first <= self.step <= run.last:
-                return run.version
-        return 0
-
     def receive(self, message: messages.Message) -> list[messages.Action]:
         """Take a message from a leader; old ballots are rejected."""
         if message.kind is Kind.RECRUIT:
             return self._recruit(message)
-        if message.incarnation != self.incarnation:
-            # The leader still knows the agent before this one; the
-            # answer tells it to recruit the group anew.
-            return [self._reply(message, Kind.REJECTED, self.promised)]
-        if message.ballot != self.promised:
-            return [self._reply(message, Kind.REJECTED, self.promised)]
+        wrong = message.incarnation != self.incarnation
+        if wrong or message.ballot != self.promised:
+            # The answer tells the leader what it has missed: a higher
+            # ballot, or that the rank's agent is a new one.
+            return [self._reply(message, self.promised)]
         if message.kind is Kind.PREPARE:
             return self._prepare(message)
         if message.kind is Kind.GRANT:
             return self._grant(message)
         return []
 
+    # -- from the engine -------------------------------------------------
+
+    def engine_reset(
+        self, fencing: int, granted_to: int, step: int
+    ) -> list[messages.Action]:
+        """The engine forgot its grants; now the promise can be given."""
+        self._granted_to = max(self._granted_to, granted_to)
+        self.step = max(self.step, step)
+        if fencing != self.promised:
+            return []
+        self._reset_done = True
+        return [self._tell(Kind.PROMISED)]
+
     def engine_prepared(self, version: int) -> list[messages.Action]:
         """The engine holds the weights of map ``version``."""
         self._preparing.discard(version)
         self._prepared.add(version)
         return [self._tell(Kind.PREPARED, version=version)]
 
-    def engine_prepare_failed(self, version: int) -> None:
-        """The engine did not prepare; the next PREPARE tries again."""
-        self._preparing.discard(version)
+    def engine_granted(
+        self, run: messages.Run, fencing: int
+    ) -> list[messages.Action]:
+        """The engine took a run."""
+        self._granted_to = max(self._granted_to, run.last)
+        if fencing != self.promised:
+            return []
+        self._runs.add(run)
+        return [self._tell(Kind.GRANTED)]
 
-    def engine_step(self, step: int) -> list[messages.Action]:
-        """The engine is at ``step``."""
+    def order_failed(self, action: messages.Action) -> None:
+        """The engine did not take an order; the leader asks again."""
+        match action:
+            case messages.OrderPrepare(version=version):
+                self._preparing.discard(version)
+            case messages.OrderGrant(run=run):
+                self._ordered.discard(run)
+
+    def engine_state(
+        self, step: int, runs: abc.Iterable[messages.Run]
+    ) -> list[messages.Action]:
+        """The engine finished ``step`` and holds ``runs``."""
+        held = set(runs)
+        self.map_in_use = _version_at(held, step + 1)
+        if self._reset_done and held - self._ordered:
+            return self._stale_grant()
         if step <= self.step:
             return []
         self.step = step
-        self._runs = {run for run in self._runs if run.last >= step}
-        if not self.promised or step < self._told + TELL_EVERY:
+        self._runs = {run for run in self._runs if run.last > step}
+        if not self._reset_done or step < self._told + TELL_EVERY:
             return []
         self._told = step
         return [self._tell(Kind.GRANTED)]
 
-    def _recruit(self, message: messages.Message) -> list[messages.Action]:
+    # -- parts -----------------------------------------------------------
+
+    def _stale_grant(self) -> list[messages.Action]:
+        # An engine that does not check fencing numbers took an order
+        # that a paused agent sent late.  Its steps are used up, so no
+        # map is mixed, but the engine would wait in them for ever.  A
+        # higher ballot resets the whole group.
+        self._reset_done = False
+        message = messages.Message(
+            group=self.group,
+            kind=Kind.REJECTED,
+            sender=self.rank,
+            target=self._leader,
+            ballot=self.promised + 1,
+            incarnation=self.incarnation,
+        )
+        return [messages.SendMessage(message=message)]
+
+    def _recruit(
+        self, message: messages.Message
+    ) -> list[messages.Action]:
         if message.ballot < self.promised:
-            return [self._reply(message, Kind.REJECTED, self.promised)]
+            return [self._reply(message, self.promised)]
+        if message.ballot == self.promised and self._reset_done:
+            return [self._tell(Kind.PROMISED)]
         self.promised = message.ballot
         self._leader = message.sender
-        return [self._tell(Kind.PROMISED)]
+        self._reset_done = False
+        self._runs.clear()
+        self._ordered.clear()
+        self._told = -1
+        return [messages.OrderReset(fencing=message.ballot)]
 
-    def _prepare(self, message: messages.Message) -> list[messages.Action]:
+    def _prepare(
+        self, message: messages.Message
+    ) -> list[messages.Action]:
         version = message.version
         if version in self._prepared:
             return [self._tell(Kind.PREPARED, version=version)]
@@ -116,12 +165,12 @@
         for run in message.runs:
             # A map that this rank has not prepared is never granted to
             # it; a leader that did so would be at fault.
-            if run.version not in self._prepared or run in self._runs:
-                continue
-            if run.last < self.step:
+            if run.version not in self._prepared or run in self._ordered:
                 continue
-            self._runs.add(run)
-            result.append(messages.OrderGrant(run=run, fencing=message.ballot))
+            self._ordered.add(run)
+            result.append(
+                messages.OrderGrant(run=run, fencing=message.ballot)
+            )
         result.append(self._tell(Kind.GRANTED))
         return result
 
@@ -135,22 +184,29 @@
                 ballot=self.promised,
                 incarnation=self.incarnation,
                 version=version,
-                runs=self.runs,
+                runs=tuple(sorted(self._runs)),
                 prepared=tuple(sorted(self._prepared)),
+                granted_to=self._granted_to,
                 step=self.step,
             )
         )
 
     def _reply(
-        self, message: messages.Message, kind: Kind, ballot: int
+        self, message: messages.Message, ballot: int
     ) -> messages.Action:
         return messages.SendMessage(
             message=messages.Message(
                 group=self.group,
-                kind=kind,
+                kind=Kind.REJECTED,
                 sender=self.rank,
                 target=message.sender,
                 ballot=ballot,
                 incarnation=self.incarnation,
             )
         )
+
+
+def _version_at(runs: abc.Iterable[messages.Run], step: int) -> int:
+    """Return the map of the first granted step from ``step`` on, or 0."""
+    later = [run for run in runs if run.last >= step]
+    return min(later).version if later else 0
--- a/src/aspenfold/_internal/kernel/frames.py
+++ b/src/aspenfold/_internal/kernel/frames.py
@@ -44,6 +44,20 @@
     join_wait: datetime.timedelta = datetime.timedelta(0)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DrainOrder:
+    """What an entry tells an agent about taking new work.
+
+    ``token`` is a log offset: that of the drain record, or the newest
+    one read when there is none.  ``leaving``: the host list says that
+    the host goes away, which no later order undoes.
+    """
+
+    drain: bool
+    token: int
+    leaving: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Load:
     """An agent's own count of its work; ``capacity`` is concurrent."""
--- a/src/aspenfold/_internal/membership/view.py
+++ b/src/aspenfold/_internal/membership/view.py
@@ -114,10 +114,19 @@
             known.load.draining or known.host.state is hosts.HostState.LEAVING
         )
 
-    def drain_token(self, name: str) -> int:
-        """Return the offset of the drain order in the log, or 0."""
+    def drain_order(self, name: str, newest: int) -> frames.DrainOrder:
+        """Return what the endpoint's agent is to be told.
+
+        ``newest`` is the offset of the newest record that was folded.
+        """
         member = self._members.get(name)
-        return member.token if member else 0
+        known = self._endpoints.get(name)
+        return frames.DrainOrder(
+            drain=member is not None,
+            token=member.token if member else newest,
+            leaving=known is not None
+            and known.host.state is hosts.HostState.LEAVING,
+        )
 
     def routable(
         self, service: str, now: datetime.datetime
--- a/src/aspenfold/_internal/network/codec.py
+++ b/src/aspenfold/_internal/network/codec.py
@@ -147,6 +147,7 @@
             for r in message.runs
         ],
         prepared=message.prepared,
+        granted_to=message.granted_to,
         step=message.step,
         placement=placement_to_bytes(message.placement),
     )
@@ -167,6 +168,7 @@
             for r in message.runs
         ),
         prepared=tuple(message.prepared),
+        granted_to=message.granted_to,
         step=message.step,
         placement=placement_from_bytes(message.placement),
     )
--- a/src/aspenfold/_internal/network/endpoint_client.py
+++ b/src/aspenfold/_internal/network/endpoint_client.py
@@ -83,13 +83,14 @@
             path = f'{self._target.path}/requests/{attempt_id}'
             self._executor.submit(self._call, 'DELETE', path, None)
 
-    async def order(self, body: dict[str, typing.Any]) -> bool:
-        """Give the engine an order; return whether it took it."""
+    async def order(
+        self, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any] | None:
+        """Give the engine an order; None if it did not take it."""
         path = f'{self._target.path}/orders'
-        answer = await self._loop.run_in_executor(
+        return await self._loop.run_in_executor(
             self._executor, self._call, 'POST', path, body
         )
-        return answer is not None
 
     async def state(self) -> dict[str, typing.Any] | None:
         """Return the engine's state of this rank, None if it is silent."""
--- a/src/aspenfold/_internal/processes/agent.py
+++ b/src/aspenfold/_internal/processes/agent.py
@@ -114,7 +114,13 @@
     def reported(self, request: pb.ReportRequest) -> pb.ReportReply:
         """Take an entry's news and give the report."""
         self._version = max(self._version, request.version)
-        self._take_drain(request)
+        self.kernel.ordered(
+            frames.DrainOrder(
+                drain=request.drain,
+                token=request.drain_token,
+                leaving=request.leaving,
+            )
+        )
         reply = pb.ReportReply(
             endpoint=self.name,
             incarnation=self.kernel.incarnation,
@@ -185,14 +191,6 @@
         )
         self._spawn(self._member.run())
 
-    def _take_drain(self, request: pb.ReportRequest) -> None:
-        if request.leaving:
-            self.kernel.leave()
-        elif request.drain:
-            self.kernel.drain(request.drain_token)
-        else:
-            self.kernel.undrain(request.drain_token)
-
     async def _drain(self) -> None:
         events.emit(events.Event.DRAINING, name=self.name)
         self.kernel.leave()
--- a/src/aspenfold/_internal/processes/group_member.py
+++ b/src/aspenfold/_internal/processes/group_member.py
@@ -18,6 +18,9 @@
 POLL = 0.1
 """Seconds between two looks at the engine's step."""
 
+EngineOrder = (
+    messages.OrderReset | messages.OrderPrepare | messages.OrderGrant
+)
 Spawn = abc.Callable[[abc.Coroutine[typing.Any, typing.Any, None]], None]
 
 
@@ -73,11 +76,7 @@
 
     def receive(self, message: messages.Message) -> None:
         """Take a message from another agent of the group."""
-        if message.kind in (
-            messages.Kind.RECRUIT,
-            messages.Kind.PREPARE,
-            messages.Kind.GRANT,
-        ):
+        if message.kind in messages.TO_RANKS:
             if self._rank is not None:
                 self._apply(self._rank.receive(message))
         elif self._leader is not None:
@@ -104,10 +103,6 @@
             group=self._group,
             rank=self._number,
             incarnation=self._incarnation,
-            runs=[
-                messages.Run(first=first, last=last, version=version)
-                for first, last, version in state['runs']
-            ],
             prepared=state['prepared'],
             step=state['step'],
         )
@@ -129,17 +124,19 @@
         if state is None:
             return
         self.expert_load = state.get('expert_load', [])
-        self._apply(rank.engine_step(state['step']))
+        runs = [
+            messages.Run(first=first, last=last, version=version)
+            for first, last, version in state['runs']
+        ]
+        self._apply(rank.engine_state(state['step'], runs))
 
     def _apply(self, actions: list[messages.Action]) -> None:
         for action in actions:
             match action:
                 case messages.SendMessage():
                     self._send(action.message)
-                case messages.OrderPrepare():
-                    self._spawn(self._prepare(action))
-                case messages.OrderGrant():
-                    self._spawn(self._grant(action))
+                case _:
+                    self._spawn(self._order(action))
 
     def _send(self, message: messages.Message) -> None:
         if message.target == self._number:
@@ -149,40 +146,45 @@
         if address is not None:
             self._spawn(self._clients.group(*address, message))
 
-    async def _prepare(self, action: messages.OrderPrepare) -> None:
-        taken = await self._endpoint.order(
-            {
-                'order': 'prepare',
-                'fencing': action.fencing,
-                'version': action.version,
-                'experts': list(action.experts),
-            }
-        )
-        assert self._rank is not None
-        if not taken:
-            self._order_refused('prepare', action.fencing)
-            self._rank.engine_prepare_failed(action.version)
+    async def _order(self, action: EngineOrder) -> None:
+        """Give the engine an order, and the machine its answer."""
+        rank = self._rank
+        assert rank is not None
+        answer = await self._endpoint.order(_order_body(action))
+        if answer is None:
+            events.emit(
+                events.Event.ORDER_REFUSED,
+                group=self._group,
+                rank=self._number,
+                order=type(action).__name__,
+                fencing=action.fencing,
+            )
+            rank.order_failed(action)
             return
-        self._apply(self._rank.engine_prepared(action.version))
-
-    async def _grant(self, action: messages.OrderGrant) -> None:
-        taken = await self._endpoint.order(
-            {
-                'order': 'grant',
-                'fencing': action.fencing,
-                'first': action.run.first,
-                'last': action.run.last,
-                'version': action.run.version,
-            }
-        )
-        if not taken:
-            self._order_refused('grant', action.fencing)
-
-    def _order_refused(self, order: str, fencing: int) -> None:
-        events.emit(
-            events.Event.ORDER_REFUSED,
-            group=self._group,
-            rank=self._number,
-            order=order,
-            fencing=fencing,
-        )
+        match action:
+            case messages.OrderReset(fencing=fencing):
+                result = rank.engine_reset(
+                    fencing, answer['granted_to'], answer['step']
+                )
+            case messages.OrderPrepare(version=version):
+                result = rank.engine_prepared(version)
+            case messages.OrderGrant(run=run, fencing=fencing):
+                result = rank.engine_granted(run, fencing)
+        self._apply(result)
+
+
+def _order_body(action: EngineOrder) -> dict[str, typing.Any]:
+    body: dict[str, typing.Any] = {'fencing': action.fencing}
+    match action:
+        case messages.OrderReset():
+            body['order'] = 'reset'
+        case messages.OrderPrepare(version=version, experts=experts):
+            body['order'] = 'prepare'
+            body['version'] = version
+            body['experts'] = list(experts)
+        case messages.OrderGrant(run=run):
+            body['order'] = 'grant'
+            body['first'] = run.first
+            body['last'] = run.last
+            body['version'] = run.version
+    return body
--- a/src/aspenfold/_internal/processes/watcher.py
+++ b/src/aspenfold/_internal/processes/watcher.py
@@ -7,7 +7,6 @@
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.membership import endpoint as endpoint_module
 from aspenfold._internal.membership import view as view_module
-from aspenfold._internal.models import hosts
 from aspenfold._internal.network import agent_client
 from aspenfold._internal.network import codec
 from aspenfold._internal.observability import events
@@ -109,14 +108,13 @@
     def _request(self, known: endpoint_module.Endpoint) -> pb.ReportRequest:
         kernel = self._entry.kernel
         state = kernel.fleet_reader.state
-        token = kernel.view.drain_token(known.name)
-        leaving = known.host.state is hosts.HostState.LEAVING
+        order = kernel.view.drain_order(known.name, state.next_offset - 1)
         request = pb.ReportRequest(
             entry=self._entry.name,
             version=state.version,
-            drain=token > 0,
-            drain_token=token or state.next_offset - 1,
-            leaving=leaving,
+            drain=order.drain,
+            drain_token=order.token,
+            leaving=order.leaving,
         )
         if known.host.group:
             self._add_group(request, known)
--- a/standins/aspenfold_standins/engine.py
+++ b/standins/aspenfold_standins/engine.py
@@ -79,7 +79,7 @@
 
     number: int
     fencing: int = 0
-    promised: int = 0
+    granted_to: int = -1
     runs: list[list[int]] = dataclasses.field(default_factory=list)
     maps: dict[int, list[int]] = dataclasses.field(default_factory=dict)
     experts: set[int] = dataclasses.field(default_factory=set)
@@ -294,7 +294,10 @@
             self._prepare(rank, body)
         if body['order'] == 'grant':
             self._grant(rank, body)
-        return {}
+        if body['order'] == 'reset':
+            with self._changed:
+                rank.runs.clear()
+        return {'granted_to': rank.granted_to, 'step': rank.step}
 
     def _prepare(self, rank: Rank, body: dict[str, typing.Any]) -> None:
         for expert in body['experts']:
@@ -321,6 +324,7 @@
             run = [body['first'], body['last'], body['version']]
             if run not in rank.runs:
                 rank.runs.append(run)
+            rank.granted_to = max(rank.granted_to, body['last'])
             self._changed.notify_all()
 
     # -- what the engine tells -------------------------------------------
@@ -334,7 +338,7 @@
         with self._changed:
             return {
                 'step': rank.step,
-                'runs': [r for r in rank.runs if r[1] >= rank.step],
+                'runs': [r for r in rank.runs if r[1] > rank.step],
                 'prepared': sorted(rank.maps),
                 'running': self._lagged_load(rank.number),
                 'expert_load': self._expert_load(rank),
--- a/tests/lib/__init__.py
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Shared helpers of the tests."""
--- /dev/null
+++ b/tests/lib/fake_log.py
@@ -0,0 +1,49 @@
+"""The log service's semantics in memory, with its faults."""
+
+import collections
+import typing
+
+from aspenfold._internal.configuration import reader
+from aspenfold._internal.models import records
+
+
+class FakeLog:
+    """Streams of records; ``down`` refuses, ``trim`` forgets."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.appends = 0
+        self._first: dict[str, int] = collections.defaultdict(lambda: 1)
+        self._bodies: dict[str, list[dict[str, typing.Any]]] = (
+            collections.defaultdict(list)
+        )
+
+    def append(self, stream: str, record: records.Record) -> int:
+        """Append a record and return its offset."""
+        self._bodies[stream].append(record.model_dump(mode='json'))
+        self.appends += 1
+        return self._first[stream] + len(self._bodies[stream]) - 1
+
+    def read(
+        self, stream: str, start: int, limit: int = 500
+    ) -> reader.Page:
+        """Return a page from offset ``start`` on."""
+        first = self._first[stream]
+        bodies = self._bodies[stream]
+        begin = max(start, first)
+        rows = bodies[begin - first :][:limit]
+        return reader.Page(
+            records=[
+                reader.LogRecord(offset=begin + i, body=body)
+                for i, body in enumerate(rows)
+            ],
+            first=first,
+            next=first + len(bodies),
+        )
+
+    def trim(self, stream: str, keep: int) -> None:
+        """Forget all but the newest ``keep`` records."""
+        bodies = self._bodies[stream]
+        excess = max(0, len(bodies) - keep)
+        self._first[stream] += excess
+        del bodies[:excess]
