Prove calls and groups by random histories

Cause: nothing showed that the promises hold under faults.

Change: a rank heeds one leader a counter, asks for a higher ballot when its engine refuses a reset or was disturbed, and confirms a run only once its engine took it.

--- a/src/aspenfold/_internal/commands/platform.py
+++ b/src/aspenfold/_internal/commands/platform.py
@@ -1,5 +1,6 @@
 """What the operators' commands share: settings, log, entries."""
 
+from collections import abc
 import datetime
 import getpass
 import secrets
@@ -25,6 +26,26 @@
 ID_BYTES = 12
 
 
+class Log(typing.Protocol):
+    """The log service as the commands use it."""
+
+    def append(self, stream: str, record: records.Record) -> int:
+        """Append; raises LogUnavailable, perhaps after it took effect."""
+
+    def read(self, stream: str, start: int) -> reader_module.Page:
+        """Read a page from ``start``; raises LogUnavailable."""
+
+    def read_all(self, stream: str) -> list[reader_module.Page]:
+        """Read all pages; raises LogUnavailable."""
+
+
+class HostSource(typing.Protocol):
+    """The host list as the commands use it."""
+
+    def read(self) -> hosts.HostList:
+        """Return the list as the platform shows it now."""
+
+
 class Platform:
     """The platform's services as the operators' commands use them."""
 
@@ -33,13 +54,27 @@
         *,
         cfg: settings_module.OperatorSettings,
         clock: clock_module.Clock,
+        log: Log,
+        host_source: HostSource,
+        sleep: abc.Callable[[float], None] = time.sleep,
     ) -> None:
         self.cfg = cfg
         self.clock = clock
         self.reader = reader_module.FleetReader()
-        self._log = log_client.LogClient(base_url=cfg.platform.log.url)
-        self._hosts = host_list_client.HostListClient(
-            base_url=cfg.platform.host_list.url
+        self._log = log
+        self._hosts = host_source
+        self._sleep = sleep
+
+    @classmethod
+    def connect(cls, cfg: settings_module.OperatorSettings) -> 'Platform':
+        """Return the platform that ``cfg`` names."""
+        return cls(
+            cfg=cfg,
+            clock=clock_module.SystemClock(),
+            log=log_client.LogClient(base_url=cfg.platform.log.url),
+            host_source=host_list_client.HostListClient(
+                base_url=cfg.platform.host_list.url
+            ),
         )
 
     @property
@@ -90,7 +125,7 @@
                 self._log.append(records.FLEET_STREAM, record)
                 judged = self._find(record.id)
             except exceptions.LogUnavailable:
-                time.sleep(RETRY.total_seconds())
+                self._sleep(RETRY.total_seconds())
                 judged = self._find_if_up(record.id)
             if judged is not None:
                 return judged
--- a/src/aspenfold/_internal/expertmaps/leader.py
+++ b/src/aspenfold/_internal/expertmaps/leader.py
@@ -17,9 +17,6 @@
 HEARTBEAT = datetime.timedelta(seconds=1)
 """How often a rank with nothing to do is asked whether it lives."""
 
-NONCE_BITS = 20
-"""Low bits of a ballot, random, so that no two leaders share one."""
-
 Kind = messages.Kind
 Placement = tuple[tuple[int, ...], ...]
 
@@ -119,16 +116,19 @@
         return len(self._members) == self.ranks
 
     def _take_ballot(self, above: int) -> None:
-        counter = (above >> NONCE_BITS) + 1
-        nonce = self._rng.getrandbits(NONCE_BITS)
-        self.ballot = (counter << NONCE_BITS) | nonce
+        counter = messages.counter(above) + 1
+        nonce = self._rng.getrandbits(messages.NONCE_BITS)
+        self.ballot = (counter << messages.NONCE_BITS) | nonce
         self._members.clear()
         self._runs.clear()
         self._resend_at = None
 
     def _rejected(self, message: messages.Message) -> list[messages.Action]:
         known = self._members.get(message.sender)
-        if message.ballot > self.ballot:
+        ahead = messages.counter(message.ballot)
+        if message.ballot != self.ballot and ahead >= messages.counter(
+            self.ballot
+        ):
             self._take_ballot(message.ballot)
         elif known is not None and known.incarnation != message.incarnation:
             self._take_ballot(self.ballot)
@@ -159,7 +159,7 @@
         have confirmed the last.  Ballot counters grow with each leader.
         """
         last = max(member.granted_to for member in self._members.values())
-        counter = self.ballot >> NONCE_BITS
+        counter = messages.counter(self.ballot)
         self.granted_to = last + RUN_LENGTH * counter
 
     def _extend(self) -> list[messages.Action]:
--- a/src/aspenfold/_internal/expertmaps/messages.py
+++ b/src/aspenfold/_internal/expertmaps/messages.py
@@ -16,6 +16,15 @@
     REJECTED = 'rejected'
 
 
+NONCE_BITS = 20
+"""Low bits of a ballot, random, so that no two leaders share one."""
+
+
+def counter(ballot: int) -> int:
+    """Return the part of a ballot that every new leader raises."""
+    return ballot >> NONCE_BITS
+
+
 TO_RANKS = frozenset((Kind.RECRUIT, Kind.PREPARE, Kind.GRANT))
 
 
--- a/src/aspenfold/_internal/expertmaps/rank.py
+++ b/src/aspenfold/_internal/expertmaps/rank.py
@@ -7,6 +7,9 @@
 TELL_EVERY = 25
 """Steps between two progress messages to the leader."""
 
+LOST_LOOKS = 3
+"""Looks in a row at an engine that lacks a grant which it took."""
+
 Kind = messages.Kind
 
 
@@ -40,6 +43,7 @@
         self._reset_done = False
         self._leader = 0
         self._told = -1
+        self._lost_looks = 0
 
     def receive(self, message: messages.Message) -> list[messages.Action]:
         """Take a message from a leader; old ballots are rejected."""
@@ -49,7 +53,7 @@
         if wrong or message.ballot != self.promised:
             # The answer tells the leader what it has missed: a higher
             # ballot, or that the rank's agent is a new one.
-            return [self._reply(message, self.promised)]
+            return [self._rejection(message.sender, self.promised)]
         if message.kind is Kind.PREPARE:
             return self._prepare(message)
         if message.kind is Kind.GRANT:
@@ -85,13 +89,23 @@
         self._runs.add(run)
         return [self._tell(Kind.GRANTED)]
 
-    def order_failed(self, action: messages.Action) -> None:
-        """The engine did not take an order; the leader asks again."""
+    def order_failed(
+        self, action: messages.Action
+    ) -> list[messages.Action]:
+        """The engine did not take an order; the leader asks again.
+
+        A reset may be refused because the engine knows a higher fencing
+        number than this agent, which was restarted since.
+        """
         match action:
             case messages.OrderPrepare(version=version):
                 self._preparing.discard(version)
             case messages.OrderGrant(run=run):
                 self._ordered.discard(run)
+            case messages.OrderReset(fencing=fencing):
+                if fencing == self.promised:
+                    return self._ask_higher()
+        return []
 
     def engine_state(
         self, step: int, runs: abc.Iterable[messages.Run]
@@ -99,8 +113,8 @@
         """The engine finished ``step`` and holds ``runs``."""
         held = set(runs)
         self.map_in_use = _version_at(held, step + 1)
-        if self._reset_done and held - self._ordered:
-            return self._stale_grant()
+        if self._reset_done and self._disturbed(step, held):
+            return self._ask_higher()
         if step <= self.step:
             return []
         self.step = step
@@ -112,29 +126,39 @@
 
     # -- parts -----------------------------------------------------------
 
-    def _stale_grant(self) -> list[messages.Action]:
-        # An engine that does not check fencing numbers took an order
-        # that a paused agent sent late.  Its steps are used up, so no
-        # map is mixed, but the engine would wait in them for ever.  A
-        # higher ballot resets the whole group.
+    def _disturbed(self, step: int, held: set[messages.Run]) -> bool:
+        """Return whether the engine took an old order from elsewhere.
+
+        An engine that does not check fencing numbers takes the late
+        grant or reset of a paused agent.  The steps of such a grant are
+        used up, so no map is mixed, but the engine would wait for ever,
+        in steps that no other rank has or without the grants that it
+        forgot.  A higher ballot then resets the whole group.
+        """
+        if held - self._ordered:
+            return True
+        lost = {run for run in self._runs if run.last > step} - held
+        # One look may have been taken before the engine had the grant.
+        self._lost_looks = self._lost_looks + 1 if lost else 0
+        return self._lost_looks >= LOST_LOOKS
+
+    def _ask_higher(self) -> list[messages.Action]:
+        """Ask the leader for a ballot of a higher counter."""
         self._reset_done = False
-        message = messages.Message(
-            group=self.group,
-            kind=Kind.REJECTED,
-            sender=self.rank,
-            target=self._leader,
-            ballot=self.promised + 1,
-            incarnation=self.incarnation,
-        )
-        return [messages.SendMessage(message=message)]
+        ballot = self.promised + (1 << messages.NONCE_BITS)
+        return [self._rejection(self._leader, ballot)]
 
     def _recruit(
         self, message: messages.Message
     ) -> list[messages.Action]:
-        if message.ballot < self.promised:
-            return [self._reply(message, self.promised)]
         if message.ballot == self.promised and self._reset_done:
             return [self._tell(Kind.PROMISED)]
+        # Two leaders may choose one counter; only the first is heeded,
+        # since the steps that a leader skips depend on the counter.
+        if message.ballot != self.promised and messages.counter(
+            message.ballot
+        ) <= messages.counter(self.promised):
+            return [self._rejection(message.sender, self.promised)]
         self.promised = message.ballot
         self._leader = message.sender
         self._reset_done = False
@@ -191,15 +215,13 @@
             )
         )
 
-    def _reply(
-        self, message: messages.Message, ballot: int
-    ) -> messages.Action:
+    def _rejection(self, target: int, ballot: int) -> messages.Action:
         return messages.SendMessage(
             message=messages.Message(
                 group=self.group,
                 kind=Kind.REJECTED,
                 sender=self.rank,
-                target=message.sender,
+                target=target,
                 ballot=ballot,
                 incarnation=self.incarnation,
             )
--- a/src/aspenfold/_internal/processes/group_member.py
+++ b/src/aspenfold/_internal/processes/group_member.py
@@ -159,7 +159,7 @@
                 order=type(action).__name__,
                 fencing=action.fencing,
             )
-            rank.order_failed(action)
+            self._apply(rank.order_failed(action))
             return
         match action:
             case messages.OrderReset(fencing=fencing):
--- a/src/aspenfold/cli/operator.py
+++ b/src/aspenfold/cli/operator.py
@@ -12,7 +12,6 @@
 from aspenfold._internal.commands import inspect as inspect_module
 from aspenfold._internal.commands import output
 from aspenfold._internal.commands import platform as platform_module
-from aspenfold._internal.kernel import clock
 from aspenfold._internal.models import fleet
 from aspenfold._internal.models import settings as settings_module
 
@@ -166,7 +165,7 @@
         cfg = settings_module.load(
             self._settings, settings_module.OperatorSettings
         )
-        return platform_module.Platform(cfg=cfg, clock=clock.SystemClock())
+        return platform_module.Platform.connect(cfg)
 
 
 def _finish(work: abc.Callable[[], exits.Exit]) -> None:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,36 @@
+"""Profiles: CI runs a fixed set, ``make explore`` many more."""
+
+import os
+
+import hypothesis
+import pytest
+
+EXPLORING = os.environ.get('ASPENFOLD_PROFILE') == 'explore'
+
+hypothesis.settings.register_profile(
+    'ci',
+    max_examples=40,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+hypothesis.settings.register_profile(
+    'explore',
+    parent=hypothesis.settings.get_profile('ci'),
+    max_examples=1500,
+    stateful_step_count=60,
+    derandomize=False,
+    print_blob=True,
+)
+hypothesis.settings.load_profile('explore' if EXPLORING else 'ci')
+
+
+@pytest.fixture
+def seeds() -> range:
+    """Seeds of the random runs: few in CI, many when exploring."""
+    if EXPLORING:
+        first = int(os.environ.get('ASPENFOLD_FIRST_SEED', '10000'))
+        return range(first, first + 4000)
+    return range(40)
