--- a/standins/aspenfold_standins/launcher.py
+++ b/standins/aspenfold_standins/launcher.py
@@ -112,6 +112,7 @@
         )
         self.children: dict[str, Child] = {}
         self.hosts: dict[str, dict[str, typing.Any]] = {}
+        self.entry_peers: list[int] = []
         self._errors = open(  # noqa: SIM115
             directory / 'stderr.txt', 'a', encoding='utf-8'
         )
@@ -151,6 +152,10 @@
             'listen': {'address': LOOPBACK, 'port': 0},
             'peer_listen': {'address': LOOPBACK, 'port': 0},
             'platform': self.platform(),
+            'peers': [
+                {'address': LOOPBACK, 'port': port}
+                for port in self.entry_peers
+            ],
             'system_key': SYSTEM_KEY,
             'operator_key': OPERATOR_KEY,
             'log_file': str(self.directory / f'{name}.log'),
--- /dev/null
+++ b/tests/functional/conftest.py
@@ -0,0 +1,45 @@
+"""A small deployment of real processes, shared by a module's tests."""
+
+import json
+import pathlib
+import typing
+
+import pytest
+from tests.lib import fleets
+
+from aspenfold_standins import launcher
+
+
+def small_fleet() -> dict[str, typing.Any]:
+    """Return a fleet with one group of two ranks and two tills."""
+    document = fleets.document()
+    document['services'][0]['workers'] = {'zone-a': 1, 'zone-b': 1}
+    document['services'][1]['workers'] = {'zone-a': 2}
+    document['groups'] = [
+        {
+            'name': 'group-0',
+            'service': 'llm',
+            'ranks': 2,
+            'experts': 8,
+            'slots_per_rank': 5,
+        }
+    ]
+    return document
+
+
+@pytest.fixture
+def deployment(
+    tmp_path: pathlib.Path,
+) -> typing.Iterator[launcher.Deployment]:
+    """Start the small fleet with three entries and apply it."""
+    path = tmp_path / 'fleet.json'
+    path.write_text(json.dumps(small_fleet()), encoding='utf-8')
+    running = launcher.Deployment(fleet_file=path, directory=tmp_path)
+    try:
+        running.start()
+        result = running.operate('apply', str(path))
+        assert result.returncode == 0, result.stderr
+        running.wait_for('both ranks', running.steps)
+        yield running
+    finally:
+        running.stop()
