Bound what an entry watches; check bad input and tables

Change: an entry watches a bounded subset that is dealt evenly, and the report interval grows with it so that reports stay within 4 KB/s. News for an agent does not wait for the interval. An agent that refused a connection, or is a new one, is heard before it gets work again.

--- a/src/aspenfold/_internal/calls/kernel.py
+++ b/src/aspenfold/_internal/calls/kernel.py
@@ -54,7 +54,7 @@
         self.zone = zone
         self.system_key = system_key
         self.draining = False
-        self.view = view_module.View()
+        self.view = view_module.View(owner=name, zone=zone)
         self.fleet_reader = reader_module.FleetReader()
         self.limiter = limiter.Limiter()
         self._rng = rng
@@ -183,7 +183,7 @@
         flow = self._flow_of(leg)
         if flow is None:
             return []
-        self.view.heard(self._leg_endpoint[leg], frame.load, now)
+        self._hear(self._leg_endpoint[leg], frame, now)
         return self._settle(flow, flow.on_frame(frame, now))
 
     def leg_lost(
@@ -194,6 +194,8 @@
         if flow is None:
             return []
         self.view.failed(self._leg_endpoint[leg], now)
+        if not sent:
+            self.view.distrust(self._leg_endpoint[leg])
         self._drop_leg(leg)
         return self._settle(flow, flow.on_leg_lost(sent, now))
 
@@ -291,6 +293,18 @@
         assert organisation is not None
         return self.limiter.admit(organisation, now)
 
+    def _hear(
+        self, endpoint: str, frame: frames.Frame, now: datetime.datetime
+    ) -> None:
+        body = frame.body
+        if (
+            isinstance(body, frames.Refused)
+            and body.failure.code is exceptions.Code.INCARNATION_GONE
+        ):
+            self.view.distrust(endpoint)
+            return
+        self.view.heard(endpoint, frame.load, now)
+
     def _pressure(
         self, call: call_module.Call, now: datetime.datetime
     ) -> admission_policy.Pressure:
--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -39,7 +39,6 @@
     RATE_LIMITED = 1100
     TOO_MANY_IN_FLIGHT = 1101
     OVERLOADED = 1102
-    DEADLINE_TOO_SHORT = 1103
     NO_ENDPOINT = 1200
     DRAINING = 1201
     DEADLINE_PASSED = 1202
@@ -48,11 +47,11 @@
     LOG_UNAVAILABLE = 1300
     KEY_NOT_JUDGEABLE = 1301
     NO_FLEET = 1302
-    CANCELLED = 1400
     FATE_UNKNOWN = 2000
     INCARNATION_GONE = 2001
     ENDPOINT_LOST = 2002
     KEY_UNDECIDED = 2003
+    INTERNAL = 2004
     ANSWER_EXPIRED = 3000
     ANSWER_BROKEN = 3001
     ANSWER_CUT = 3002
@@ -69,6 +68,53 @@
     HOST_LIST_DOWN = 5003
 
 
+MEANING: dict[Code, str] = {
+    Code.BAD_REQUEST: 'the request lacks something; see `param`',
+    Code.UNAUTHENTICATED: 'no organisation has this credential',
+    Code.UNKNOWN_SERVICE: 'the fleet has no such service',
+    Code.UNKNOWN_OPERATION: 'the service has no such operation',
+    Code.BODY_TOO_LARGE: 'the body is larger than `max_body_bytes`',
+    Code.BAD_JSON: 'the body is not one JSON object',
+    Code.BAD_HEADER: 'a header has a value that is not allowed',
+    Code.KEY_REQUIRED: 'a call that must not be repeated has no key',
+    Code.KEY_REUSED: 'the key was used with another content',
+    Code.BAD_TICKET: "the ticket is forged, or another organisation's",
+    Code.NO_RULE: 'no rule lets the organisation make this call',
+    Code.RATE_LIMITED: 'the organisation is over its rate',
+    Code.TOO_MANY_IN_FLIGHT: 'the organisation has too many calls open',
+    Code.OVERLOADED: 'the lane is full, or the wait passes the deadline',
+    Code.NO_ENDPOINT: 'no endpoint of the service takes work now',
+    Code.DRAINING: 'the entry or the endpoint is shutting down',
+    Code.DEADLINE_PASSED: 'the deadline passed before the call started',
+    Code.SEALED: 'the attempt did not run and never will',
+    Code.ENDPOINT_UNREACHABLE: 'the endpoint or its agent is away',
+    Code.LOG_UNAVAILABLE: 'the log that decides keys is down',
+    Code.KEY_NOT_JUDGEABLE: 'claims of this key may have been trimmed',
+    Code.NO_FLEET: 'no fleet is in force here yet',
+    Code.FATE_UNKNOWN: 'an attempt may have run; its fate is not known',
+    Code.INCARNATION_GONE: 'the agent that had the call was restarted',
+    Code.ENDPOINT_LOST: 'the endpoint was lost before the end',
+    Code.KEY_UNDECIDED: 'refused before the key was judged; an earlier '
+    'submission of it may have run',
+    Code.ANSWER_EXPIRED: 'it ran; its answer is no longer kept',
+    Code.ANSWER_BROKEN: 'it ran; the answer fails its digest',
+    Code.ANSWER_CUT: 'it ran; the answer ends early',
+    Code.ENDPOINT_FAILED: 'it ran; the endpoint broke its protocol',
+    Code.CONFIG_INVALID: 'a fleet file or an argument is wrong',
+    Code.CONFIG_CONFLICT: "another operator's change came first",
+    Code.CONFIG_DIGEST: 'the change does not give the intended whole',
+    Code.APPEND_UNKNOWN: 'it is not known whether a change was accepted',
+    Code.NOT_IN_FORCE: 'accepted, but not yet in force everywhere',
+    Code.NOT_FOUND: 'there is nothing of that name',
+    Code.SETTINGS_INVALID: 'a settings file is missing or wrong',
+    Code.PORT_UNAVAILABLE: 'the port cannot be listened on',
+    Code.LOG_DOWN: 'the log service does not answer',
+    Code.HOST_LIST_DOWN: 'the host list does not answer',
+    Code.INTERNAL: 'aspenfold itself is at fault; please report it',
+}
+"""One line for each code, for ``docs/ERRORS.md``."""
+
+
 HTTP_STATUS: dict[Code, int] = {
     Code.BAD_REQUEST: 400,
     Code.UNAUTHENTICATED: 401,
@@ -83,12 +129,11 @@
     Code.NO_RULE: 403,
     Code.RATE_LIMITED: 429,
     Code.TOO_MANY_IN_FLIGHT: 429,
-    Code.DEADLINE_TOO_SHORT: 504,
     Code.DEADLINE_PASSED: 504,
-    Code.CANCELLED: 499,
     Code.FATE_UNKNOWN: 502,
     Code.INCARNATION_GONE: 502,
     Code.ENDPOINT_LOST: 502,
+    Code.INTERNAL: 500,
     Code.ANSWER_EXPIRED: 409,
     Code.ANSWER_BROKEN: 502,
     Code.ANSWER_CUT: 502,
--- a/src/aspenfold/_internal/membership/view.py
+++ b/src/aspenfold/_internal/membership/view.py
@@ -1,17 +1,29 @@
 """Fuses the host list, the log's members and the agents' own words."""
 
+import collections
 import datetime
 
 from aspenfold._internal.configuration import state as state_module
 from aspenfold._internal.kernel import frames
 from aspenfold._internal.membership import endpoint as endpoint_module
 from aspenfold._internal.models import hosts
+from aspenfold._internal.routing import subset
 
-REPORT_INTERVAL = datetime.timedelta(milliseconds=500)
-"""How often an entry asks an endpoint that it watches for a report."""
+MIN_REPORT_INTERVAL = datetime.timedelta(milliseconds=500)
+"""How often an entry asks an endpoint that it watches, at the most."""
 
-HEARTBEAT_TIMEOUT = datetime.timedelta(seconds=2)
-"""Silence after which an endpoint gets no new work."""
+REPORT_BYTES = 400
+"""What a report and its answer cost on the wire, headers included."""
+
+REPORT_BYTES_PER_SECOND = 4000
+"""What an entry may spend on reports; more endpoints are asked less."""
+
+SILENT_INTERVALS = 4
+"""Report intervals of silence after which an endpoint gets no new work."""
+
+OWN_ZONE_SUBSET = 48
+OTHER_ZONES_SUBSET = 16
+"""Endpoints of one service that an entry watches and routes to."""
 
 EJECT_AFTER = 3
 """Failures in a row that eject an endpoint."""
@@ -25,10 +37,14 @@
 class View:
     """An entry's view of the endpoints, by name."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, owner: str, zone: str) -> None:
+        self._owner = owner
+        self._zone = zone
+        self._watched: dict[str, list[endpoint_module.Endpoint]] = {}
+        self._groups: dict[str, list[endpoint_module.Endpoint]] = {}
         self._endpoints: dict[str, endpoint_module.Endpoint] = {}
         self._members: dict[str, state_module.Member] = {}
-        self.host_list_version = 0
+        self.host_list_version = -1
 
     def all(self) -> list[endpoint_module.Endpoint]:
         """Return every endpoint, routable or not."""
@@ -40,7 +56,7 @@
 
     def listed(self, listing: hosts.HostList) -> None:
         """Take a reading of the host list; older readings are ignored."""
-        if listing.version < self.host_list_version:
+        if listing.version <= self.host_list_version:
             return
         self.host_list_version = listing.version
         current = {
@@ -56,6 +72,21 @@
                 self._endpoints[name] = endpoint_module.Endpoint(host=host)
             else:
                 known.host = host
+        self._choose_watched(listing)
+
+    def watched(self) -> list[endpoint_module.Endpoint]:
+        """Return the bounded subset that is watched and routed to."""
+        return [known for some in self._watched.values() for known in some]
+
+    def group(self, name: str) -> list[endpoint_module.Endpoint]:
+        """Return the endpoints of a rank group."""
+        return self._groups.get(name, [])
+
+    def report_interval(self) -> datetime.timedelta:
+        """Return how long a watched endpoint may go without a report."""
+        count = sum(len(some) for some in self._watched.values())
+        seconds = count * REPORT_BYTES / REPORT_BYTES_PER_SECOND
+        return max(MIN_REPORT_INTERVAL, datetime.timedelta(seconds=seconds))
 
     def folded(self, members: dict[str, state_module.Member]) -> None:
         """Take the members as the fleet stream has them."""
@@ -105,6 +136,12 @@
         known.ejected_until = now + EJECT_TIME
         known.failures = 0
 
+    def distrust(self, name: str) -> None:
+        """The agent is gone or a new one: hear it before using it."""
+        known = self._endpoints.get(name)
+        if known is not None:
+            known.reported = None
+
     def leaving(self, name: str) -> bool:
         """Return whether any source says that the endpoint leaves."""
         known = self._endpoints.get(name)
@@ -134,8 +171,8 @@
         """Return the endpoints of ``service`` that may get new work."""
         return [
             known
-            for known in self._endpoints.values()
-            if known.host.service == service and self._usable(known, now)
+            for known in self._watched.get(service, [])
+            if self._usable(known, now)
         ]
 
     def _usable(
@@ -143,20 +180,46 @@
     ) -> bool:
         if known.reported is None or self.leaving(known.name):
             return False
-        if now - known.reported > HEARTBEAT_TIMEOUT:
+        if now - known.reported > self.report_interval() * SILENT_INTERVALS:
             return False
         return known.ejected_until is None or known.ejected_until <= now
 
     def _may_eject(
         self, known: endpoint_module.Endpoint, now: datetime.datetime
     ) -> bool:
-        peers = [
-            other
-            for other in self._endpoints.values()
-            if other.host.service == known.host.service
-        ]
+        peers = self._watched.get(known.host.service, [])
         out = sum(
             other.ejected_until is not None and other.ejected_until > now
             for other in peers
         )
         return (out + 1) <= len(peers) * MAX_EJECTED_SHARE
+
+    def _choose_watched(self, listing: hosts.HostList) -> None:
+        """Choose the subset anew; only a changed host list does so."""
+        entries = [
+            host.name
+            for host in listing.hosts
+            if host.role is hosts.Role.ENTRY
+            and host.availability_zone == self._zone
+        ]
+        everyone = [
+            host.name
+            for host in listing.hosts
+            if host.role is hosts.Role.ENTRY
+        ]
+        own: dict[str, list[str]] = collections.defaultdict(list)
+        other: dict[str, list[str]] = collections.defaultdict(list)
+        self._groups = collections.defaultdict(list)
+        for known in self._endpoints.values():
+            side = own if known.zone == self._zone else other
+            side[known.host.service].append(known.name)
+            if known.host.group:
+                self._groups[known.host.group].append(known)
+        self._watched = {}
+        for service in {*own, *other}:
+            names = subset.deal(
+                self._owner, entries, own[service], OWN_ZONE_SUBSET
+            ) + subset.deal(
+                self._owner, everyone, other[service], OTHER_ZONES_SUBSET
+            )
+            self._watched[service] = [self._endpoints[n] for n in names]
--- a/src/aspenfold/_internal/network/http_edge.py
+++ b/src/aspenfold/_internal/network/http_edge.py
@@ -232,6 +232,26 @@
         return border.parse_object(self._body(headers))
 
 
+def _unexpected(
+    status: str, message: str, traceback: str, version: str
+) -> str:
+    """Return the body for an error that no route has caught.
+
+    CherryPy's own pages are HTML and would not tell the outcome.
+    """
+    failure = exceptions.Failure(
+        code=exceptions.Code.INTERNAL,
+        detail=f'{status}: {message}',
+        remedy='please report it with the request id',
+    )
+    headers = cherrypy.response.headers
+    request_id = str(headers.get('X-Request-Id', ''))
+    headers['Content-Type'] = JSON
+    headers['Aspenfold-Outcome'] = failure.outcome.value
+    headers['Aspenfold-Code'] = str(int(failure.code))
+    return json.dumps(error_document(failure, request_id))
+
+
 def _too_large(limit: int) -> exceptions.RequestError:
     return border.refuse(
         exceptions.Code.BODY_TOO_LARGE,
@@ -324,6 +344,8 @@
                 'server.max_request_header_size': cfg.max_header_bytes,
                 'server.max_request_body_size': 0,
                 'request.process_request_body': False,
+                'request.show_tracebacks': False,
+                'error_page.default': _unexpected,
             }
         )
         cherrypy.tree.mount(self._api, '/')
--- a/src/aspenfold/_internal/processes/watcher.py
+++ b/src/aspenfold/_internal/processes/watcher.py
@@ -1,20 +1,24 @@
 """Asks the watched endpoints' agents for reports, and tells them news."""
 
 import asyncio
+import datetime
 import typing
 
 from aspenfold._internal.calls import kernel as entry_kernel
+from aspenfold._internal.configuration import state as state_module
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.membership import endpoint as endpoint_module
 from aspenfold._internal.membership import view as view_module
 from aspenfold._internal.network import agent_client
 from aspenfold._internal.network import codec
 from aspenfold._internal.observability import events
-from aspenfold._internal.routing import subset
 from aspenfold._internal.rpc import aspenfold_pb2 as pb
 
-SUBSET_PER_SERVICE = 24
-"""Endpoints of one service that an entry watches and routes to."""
+LOOK = 0.1
+"""Seconds between two looks at which endpoints are to be asked."""
+
+BUSY_FACTOR = 2
+"""A busy endpoint is asked after this many intervals."""
 
 
 class Entry(typing.Protocol):
@@ -38,34 +42,41 @@
     def __init__(self, *, entry: Entry) -> None:
         self._entry = entry
         self._pending: set[str] = set()
+        self._asked: dict[str, datetime.datetime] = {}
         self._lost: set[str] = set()
 
     async def run(self) -> None:
         """Watch for ever."""
-        interval = view_module.REPORT_INTERVAL.total_seconds()
         while True:
-            for known in self.watched():
-                if known.name not in self._pending:
+            now = self._entry.clock.now()
+            for known in self._entry.kernel.view.watched():
+                if known.name not in self._pending and self._due(known, now):
                     self._pending.add(known.name)
+                    self._asked[known.name] = now
                     self._entry.spawn(self._ask(known))
-            await asyncio.sleep(interval)
+            await asyncio.sleep(LOOK)
+
+    def _due(
+        self, known: endpoint_module.Endpoint, now: datetime.datetime
+    ) -> bool:
+        """Return whether an endpoint is to be asked now.
 
-    def watched(self) -> list[endpoint_module.Endpoint]:
-        """Return the bounded subset of endpoints that is watched."""
-        by_service: dict[str, list[str]] = {}
+        Answers carry the load, so a busy endpoint is asked less often;
+        news for its agent does not wait.
+        """
         view = self._entry.kernel.view
-        for known in view.all():
-            names = by_service.setdefault(known.host.service, [])
-            names.append(known.name)
-        chosen: list[endpoint_module.Endpoint] = []
-        for names in by_service.values():
-            for name in subset.pick(
-                self._entry.name, names, SUBSET_PER_SERVICE
-            ):
-                found = view.get(name)
-                if found is not None:
-                    chosen.append(found)
-        return chosen
+        interval = view.report_interval()
+        asked = self._asked.get(known.name)
+        if asked is None or now >= asked + interval * BUSY_FACTOR:
+            return True
+        if now < asked + view_module.MIN_REPORT_INTERVAL:
+            return False
+        if view.leaving(known.name) and not known.load.draining:
+            return True
+        if self._newer_map(known) is not None:
+            return True
+        heard = known.reported
+        return heard is None or now >= max(heard, asked) + interval
 
     async def _ask(self, known: endpoint_module.Endpoint) -> None:
         host = known.host
@@ -123,18 +134,26 @@
     def _add_group(
         self, request: pb.ReportRequest, known: endpoint_module.Endpoint
     ) -> None:
-        group = known.host.group
-        for other in self._entry.kernel.view.all():
-            if other.host.group == group:
-                request.ranks.add(
-                    rank=other.host.rank,
-                    address=str(other.host.address),
-                    port=other.host.port,
-                )
-        current = self._entry.kernel.fleet_reader.state.maps.get(group)
-        if current is None or current.version <= known.map_version:
+        for other in self._entry.kernel.view.group(known.host.group):
+            request.ranks.add(
+                rank=other.host.rank,
+                address=str(other.host.address),
+                port=other.host.port,
+            )
+        current = self._newer_map(known)
+        if current is None:
             return
         request.map_version = current.version
         request.placement = codec.placement_to_bytes(
             tuple(tuple(experts) for experts in current.placement)
         )
+
+    def _newer_map(
+        self, known: endpoint_module.Endpoint
+    ) -> state_module.MapVersion | None:
+        """Return the plan that the endpoint's agent was not told yet."""
+        maps = self._entry.kernel.fleet_reader.state.maps
+        current = maps.get(known.host.group)
+        if current is None or current.version <= known.map_version:
+            return None
+        return current
--- /dev/null
+++ b/tests/functional/test_programs.py
@@ -0,0 +1,88 @@
+"""The programs' own errors: coded, without a traceback."""
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+
+import pytest
+from tests.lib import client as client_module
+import urllib3
+
+from aspenfold_standins import launcher
+
+BIN = pathlib.Path(sys.executable).parent
+
+
+def run(program: str, *arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run a program to its end."""
+    return subprocess.run(
+        [str(BIN / program), *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=30,
+    )
+
+
+@pytest.mark.parametrize('program', ['aspenfold-entry', 'aspenfold-agent'])
+def test_missing_settings(program: str) -> None:
+    """The file is named, with the way out."""
+    result = run(program, '/nowhere.json')
+    assert result.returncode == 2
+    assert '[5000] cannot read /nowhere.json' in result.stderr
+    assert 'Traceback' not in result.stderr
+
+
+def test_port_in_use(tmp_path: pathlib.Path) -> None:
+    """The setting that names the port is told."""
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        port = taken.getsockname()[1]
+        settings = tmp_path / 'agent.json'
+        settings.write_text(
+            json.dumps(
+                {
+                    'name': 'a',
+                    'availability_zone': 'z',
+                    'listen': {'address': '127.0.0.1', 'port': port},
+                    'endpoint': {'address': '127.0.0.1', 'port': 1},
+                    'service': 's',
+                    'kind': 'plain',
+                    'operations': {},
+                    'system_key': 'k' * 16,
+                }
+            )
+        )
+        result = run('aspenfold-agent', str(settings))
+    assert result.returncode == 1
+    assert '[5001]' in result.stderr
+    assert 'listen.port' in result.stderr
+    assert 'Traceback' not in result.stderr
+
+
+def test_operator_without_settings() -> None:
+    """The operator is told which file is missing."""
+    result = run('aspenfold', 'status')
+    assert result.returncode == 2
+    assert 'Traceback' not in result.stderr
+
+
+def test_http_errors_and_health(deployment: launcher.Deployment) -> None:
+    """Oversized bodies, strange paths, wrong methods; and metrics."""
+    client = client_module.Client(deployment)
+    large = client.post(0, '/services/till/ping', {'x': 'y' * 1_100_000})
+    assert (large.status, large.code) == (413, 1004)
+    nothing = client.post(0, '/nothing/here', {})
+    assert (nothing.status, nothing.code) == (404, 4005)
+    assert client.ping(0).status == 200
+    entry = deployment.children[deployment.entries()[0]]
+    pool = urllib3.PoolManager()
+    ready = pool.request('GET', entry.url + '/health/ready')
+    assert ready.status == 200
+    admin = pool.request('GET', entry.url + '/admin/status')
+    assert admin.status == 401
+    metrics = pool.request('GET', entry.url + '/metrics').data.decode()
+    assert 'aspenfold_call_quantile_seconds{' in metrics
+    assert 'aspenfold_refusals_total{label="1004"}' not in metrics
+    assert 'aspenfold_config_version 1.0' in metrics
--- a/tests/lib/chaos.py
+++ b/tests/lib/chaos.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from tests.lib import sim as sim_module
+from aspenfold_standins import sim as sim_module
 from tests.lib import world as world_module
 
 FAULT_MS = 6000
--- a/tests/lib/client.py
+++ b/tests/lib/client.py
@@ -5,8 +5,8 @@
 import json
 import typing
 
-import urllib3
 from tests.lib import fleets
+import urllib3
 
 from aspenfold_standins import launcher
 
--- a/tests/lib/group_world.py
+++ b/tests/lib/group_world.py
@@ -12,7 +12,7 @@
 from aspenfold._internal.expertmaps import messages
 from aspenfold._internal.expertmaps import rank as rank_module
 from aspenfold._internal.processes import group_member
-from tests.lib import sim as sim_module
+from aspenfold_standins import sim as sim_module
 
 GROUP = 'group-0'
 STEP_MS = 5
--- a/tests/lib/operators.py
+++ b/tests/lib/operators.py
@@ -12,8 +12,8 @@
 from aspenfold._internal.models import hosts
 from aspenfold._internal.models import records
 from aspenfold._internal.models import settings
+from aspenfold_standins import sim as sim_module
 from tests.lib import fake_log
-from tests.lib import sim as sim_module
 
 SETTINGS = {
     'operator': 'someone',
--- a/tests/lib/steps.py
+++ b/tests/lib/steps.py
@@ -5,10 +5,10 @@
 
 import dataclasses
 
+from aspenfold_standins import sim as sim_module
 import pytest_bdd
 from pytest_bdd import parsers
 from tests.lib import history
-from tests.lib import sim as sim_module
 from tests.lib import world as world_module
 
 given = pytest_bdd.given
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -25,9 +25,9 @@
 from aspenfold._internal.models import records
 from aspenfold._internal import retries
 from aspenfold._internal import routing
+from aspenfold_standins import sim as sim_module
 from tests.lib import fake_log
 from tests.lib import fleets
-from tests.lib import sim as sim_module
 
 PLUGINS = (admission, retries, routing)
 KEY = 'test-system-key-0123'
@@ -555,7 +555,7 @@
             )
             for name, node in self.endpoints.items()
         ]
-        return hosts.HostList(version=len(self.leaving), hosts=listed)
+        return hosts.HostList(version=len(self.leaving) + 1, hosts=listed)
 
     def member(self, endpoint: str, state: typing.Any) -> None:
         """Append an operator's change of an endpoint's state."""
--- a/tests/unit/test_attempt_machine.py
+++ b/tests/unit/test_attempt_machine.py
@@ -2,10 +2,10 @@
 
 import datetime
 
+from aspenfold_standins import sim as sim_module
 from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
-from tests.lib import sim as sim_module
 
 from aspenfold._internal.attempts import actions
 from aspenfold._internal.attempts import kernel as agent_kernel
--- /dev/null
+++ b/tests/unit/test_border.py
@@ -0,0 +1,120 @@
+"""Bad input gets a coded error that names the field and the way out."""
+
+import json
+import typing
+
+from aspenfold_standins import sim as sim_module
+import pytest
+from tests.lib import fleets
+
+from aspenfold._internal import exceptions
+from aspenfold._internal.models import fleet
+from aspenfold._internal.network import border
+
+Code = exceptions.Code
+
+
+def raw(
+    *,
+    service: str = 'till',
+    operation: str = 'ping',
+    body: bytes = b'{}',
+    secret: str = fleets.SECRET,
+    **headers: str,
+) -> border.RawRequest:
+    """Return a request; header names have underscores for hyphens."""
+    return border.RawRequest(
+        service=service,
+        operation=operation,
+        headers={
+            'authorization': f'Bearer {secret}',
+            **{k.replace('_', '-'): v for k, v in headers.items()},
+        },
+        body=body,
+        received_at=sim_module.START,
+        request_id='id-1',
+    )
+
+
+@pytest.fixture
+def checks() -> border.Border:
+    """Return a border that knows the small fleet."""
+    result = border.Border()
+    result.use(fleet.Fleet.model_validate(fleets.document()))
+    return result
+
+
+@pytest.mark.parametrize(
+    ('changes', 'code', 'field'),
+    [
+        ({'secret': 'wrong'}, Code.UNAUTHENTICATED, 'Authorization'),
+        ({'service': 'tills'}, Code.UNKNOWN_SERVICE, 'service'),
+        ({'operation': 'pong'}, Code.UNKNOWN_OPERATION, 'operation'),
+        ({'body': b'{"a":'}, Code.BAD_JSON, 'body'),
+        ({'body': b'[1]'}, Code.BAD_JSON, 'body'),
+        ({'service': ''}, Code.BAD_REQUEST, 'model'),
+        ({'operation': 'job'}, Code.KEY_REQUIRED, 'Idempotency-Key'),
+        (
+            {'operation': 'job', 'idempotency_key': 'k' * 300},
+            Code.BAD_HEADER,
+            'Idempotency-Key',
+        ),
+        (
+            {'aspenfold_deadline_ms': 'soon'},
+            Code.BAD_HEADER,
+            'Aspenfold-Deadline-Ms',
+        ),
+        (
+            {'aspenfold_priority': 'highest'},
+            Code.BAD_HEADER,
+            'Aspenfold-Priority',
+        ),
+    ],
+)
+def test_bad_request(
+    checks: border.Border,
+    changes: dict[str, typing.Any],
+    code: Code,
+    field: str,
+) -> None:
+    """The error has a code, names the field and says what to do."""
+    with pytest.raises(exceptions.RequestError) as caught:
+        checks.call(raw(**changes))
+    failure = caught.value.failure
+    assert failure.code is code
+    assert failure.field == field
+    assert failure.remedy
+    assert failure.outcome is exceptions.Outcome.NOT_RUN
+
+
+def test_a_caller_may_lower_its_priority_but_not_raise_it() -> None:
+    """The rule's priority is the most urgent that a caller gets."""
+    document = fleets.document(rules=[{'priority': 'generation'}])
+    checks = border.Border()
+    checks.use(fleet.Fleet.model_validate(document))
+    higher = checks.call(raw(aspenfold_priority='interactive'))
+    lower = checks.call(raw(aspenfold_priority='batch'))
+    assert higher.priority is fleet.Priority.GENERATION
+    assert lower.priority is fleet.Priority.BATCH
+
+
+def test_no_rule() -> None:
+    """A call that no rule matches is refused with its own code."""
+    document = fleets.document(
+        rules=[{'service': 'llm', 'priority': 'generation'}]
+    )
+    checks = border.Border()
+    checks.use(fleet.Fleet.model_validate(document))
+    with pytest.raises(exceptions.RequestError) as caught:
+        checks.call(raw())
+    assert caught.value.failure.code is Code.NO_RULE
+
+
+def test_model_names_the_service(checks: border.Border) -> None:
+    """Completion clients name the service as their model."""
+    body = json.dumps({'model': 'llm', 'prompt': 'x', 'stream': True})
+    call = checks.call(
+        raw(service='', operation='completions', body=body.encode())
+    )
+    assert call.service == 'llm'
+    assert call.streamed
--- a/tests/unit/test_claim_machine.py
+++ b/tests/unit/test_claim_machine.py
@@ -2,11 +2,11 @@
 
 import datetime
 
+from aspenfold_standins import sim as sim_module
 from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
 from tests.lib import fake_log
-from tests.lib import sim as sim_module
 
 from aspenfold._internal.claims import fold
 from aspenfold._internal.models import records
--- a/tests/unit/test_fleet_machine.py
+++ b/tests/unit/test_fleet_machine.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from aspenfold_standins import sim as sim_module
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -9,7 +10,6 @@
 from tests.lib import fake_log
 from tests.lib import fleets
 from tests.lib import operators
-from tests.lib import sim as sim_module
 
 from aspenfold._internal.configuration import fold
 from aspenfold._internal.configuration import patch
