Plan expert maps by price: skew against moved weights

Cause: maps were planned once and never followed popularity.

Change: 'priced' weighs keeping the map, greedy moves, and a packing that leaves replicas where they fit, at the group's prices.

--- a/src/aspenfold/_internal/leases/duties.py
+++ b/src/aspenfold/_internal/leases/duties.py
@@ -4,12 +4,14 @@
 one record a duty, and the fold of the log shows whether it took effect.
 """
 
+from collections import abc
 import datetime
 import random
 
 from aspenfold._internal.configuration import fold
 from aspenfold._internal.configuration import state as state_module
 from aspenfold._internal.expertmaps import planner
+from aspenfold._internal.expertmaps import sticky
 from aspenfold._internal.kernel import registry
 from aspenfold._internal.leases import keeper
 from aspenfold._internal.models import fleet as fleet_model
@@ -20,6 +22,15 @@
 SNAPSHOT_EVERY = 200
 """Records between two snapshots."""
 
+PLAN_INTERVAL = datetime.timedelta(seconds=10)
+"""Least time between two plans of a group by one planner."""
+
+HYSTERESIS = 1.02
+"""How far over its bound skew must be before a new plan is made."""
+
+PLUGINS = (sticky,)
+"""Importing this module registered its planners."""
+
 RETRY = datetime.timedelta(seconds=1)
 """Wait for an own record to be folded before it is written again."""
 
@@ -42,6 +53,7 @@
         self._keeper = keeper.LeaseKeeper(holder=name)
         self._snapshot_offset = 0
         self._snapshot_at: datetime.datetime | None = None
+        self._planned: dict[str, datetime.datetime] = {}
         self._wrote: dict[str, datetime.datetime] = {}
 
     def snapshot_seen(self, offset: int, now: datetime.datetime) -> None:
@@ -50,15 +62,23 @@
         self._snapshot_at = now
 
     def tick(
-        self, state: state_module.FleetState, now: datetime.datetime
+        self,
+        state: state_module.FleetState,
+        loads: abc.Mapping[str, abc.Sequence[float]],
+        now: datetime.datetime,
     ) -> list[records.Record]:
-        """Return the records to append now."""
+        """Return the records to append now.
+
+        ``loads`` gives each group's load by expert, as its engines
+        report it; a group without one keeps its map.
+        """
         fleet = state.fleet
         if fleet is None:
             return []
         result: list[records.Record] = []
         for group in fleet.groups:
-            record = self._plan_map(state, group, now)
+            load = loads.get(group.name, ())
+            record = self._plan_map(state, group, load, now)
             if record is not None:
                 result.append(record)
         snapshot = self._snapshot(state, now)
@@ -70,10 +90,13 @@
         self,
         state: state_module.FleetState,
         group: fleet_model.Group,
+        load: abc.Sequence[float],
         now: datetime.datetime,
     ) -> records.Record | None:
-        current = state.maps.get(group.name)
-        if current is not None and _fits(group, current.placement):
+        known = state.maps.get(group.name)
+        current = known.placement if known else []
+        reason = self._reason_to_plan(group, current, load, now)
+        if not reason:
             return None
         lease = fold.MAP_LEASE + group.name
         token = self._keeper.held(state, lease)
@@ -81,16 +104,39 @@
             return self._ask(state, lease, now)
         if not self._due(lease, now):
             return None
+        placement = plan(group, current, load)
+        self._planned[group.name] = now
+        if placement == current:
+            return None
         return records.MapPlan(
             id=self._new_id(),
             author=self._name,
             at=now,
             group=group.name,
             lease_token=token,
-            placement=first_placement(group),
-            reason='the group has no map of its size',
+            placement=placement,
+            reason=reason,
         )
 
+    def _reason_to_plan(
+        self,
+        group: fleet_model.Group,
+        current: planner.Placement,
+        load: abc.Sequence[float],
+        now: datetime.datetime,
+    ) -> str:
+        if not _fits(group, current):
+            return 'the group has no map of its size'
+        if len(load) != group.experts:
+            return ''
+        planned = self._planned.get(group.name)
+        if planned is not None and now < planned + PLAN_INTERVAL:
+            return ''
+        skew = planner.skew(current, load)
+        if skew <= group.price.skew_bound * HYSTERESIS:
+            return ''
+        return f'skew {skew:.3f} is over {group.price.skew_bound}'
+
     def _snapshot(
         self, state: state_module.FleetState, now: datetime.datetime
     ) -> records.Record | None:
@@ -134,15 +180,26 @@
         return f'{self._rng.getrandbits(ID_BITS):024x}'
 
 
-def first_placement(group: fleet_model.Group) -> list[list[int]]:
-    """Return a placement that assumes all experts equally popular."""
+def plan(
+    group: fleet_model.Group,
+    current: planner.Placement,
+    load: abc.Sequence[float],
+) -> planner.Placement:
+    """Return a placement by the group's planner.
+
+    Without a load all experts count as equally popular.
+    """
     shape = planner.Shape(
         ranks=group.ranks,
         experts=group.experts,
         slots_per_rank=group.slots_per_rank,
     )
-    policy: planner.MapPlanner = registry.create(planner.KIND, 'full')
-    return policy.plan(shape, [1.0] * group.experts, [], group.price)
+    if len(load) != group.experts:
+        load = [1.0] * group.experts
+    if not _fits(group, current):
+        current = []
+    policy: planner.MapPlanner = registry.create(planner.KIND, group.planner)
+    return policy.plan(shape, load, current, group.price)
 
 
 def _fits(group: fleet_model.Group, placement: list[list[int]]) -> bool:
--- a/src/aspenfold/_internal/membership/endpoint.py
+++ b/src/aspenfold/_internal/membership/endpoint.py
@@ -27,6 +27,7 @@
     admitted: datetime.datetime | None = None
     map_version: int = 0
     map_in_use: int = 0
+    expert_load: list[float] = dataclasses.field(default_factory=list)
 
     @property
     def name(self) -> str:
--- a/src/aspenfold/_internal/models/fleet.py
+++ b/src/aspenfold/_internal/models/fleet.py
@@ -103,6 +103,7 @@
     experts: int = pydantic.Field(ge=1, le=4096)
     slots_per_rank: int = pydantic.Field(ge=1, le=4096)
     price: MapPrice = MapPrice()
+    planner: str = 'priced'
 
     @pydantic.model_validator(mode='after')
     def _slots_hold_experts(self) -> 'Group':
--- a/src/aspenfold/_internal/processes/entry.py
+++ b/src/aspenfold/_internal/processes/entry.py
@@ -407,9 +407,18 @@
             reading = self.kernel.fleet_reader
             if not self.kernel.log_up or reading.recovering:
                 continue
-            for record in self._duties.tick(reading.state, self.clock.now()):
+            for record in self._duties.tick(
+                reading.state, self._expert_loads(), self.clock.now()
+            ):
                 await self._append(record)
 
+    def _expert_loads(self) -> dict[str, list[float]]:
+        return {
+            known.host.group: known.expert_load
+            for known in self.kernel.view.watched()
+            if known.expert_load
+        }
+
     async def _append(self, record: records.Record) -> None:
         try:
             offset = await self._loop.run_in_executor(
--- a/src/aspenfold/_internal/processes/watcher.py
+++ b/src/aspenfold/_internal/processes/watcher.py
@@ -105,6 +105,7 @@
         )
         known.map_version = reply.map_version
         known.map_in_use = reply.map_in_use
+        known.expert_load = list(reply.expert_load)
 
     def _note_lost(
         self, known: endpoint_module.Endpoint, exc: BaseException
--- a/tests/functional/test_processes.py
+++ b/tests/functional/test_processes.py
@@ -319,3 +319,20 @@
     assert '/name' in second.stderr
     shown = json.loads(deployment.operate('show').stdout)
     assert shown['name'] == 'mine'
+
+
+def test_popularity_that_shifts_changes_the_map(
+    deployment: launcher.Deployment,
+) -> None:
+    """P1, P8: a rebalanced map comes in force between two steps."""
+    popularity = [1.0] * 7 + [12.0]
+    deployment.fault('engine-group-0', popularity=popularity)
+
+    def newer() -> bool:
+        steps = deployment.record('engine-group-0')['steps']
+        return len({maps[0] for _, maps in steps}) > 1
+
+    deployment.wait_for('a new map', newer)
+    one_map(deployment)
+    audit = deployment.operate('audit', '--kind=map').stdout
+    assert 'skew' in audit
