--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the true kernels, each beside its baseline."""
--- /dev/null
+++ b/bench/model.py
@@ -0,0 +1,369 @@
+"""True entry and agent kernels before queueing endpoints.
+
+Only endpoints, network and callers are modelled: an endpoint serves
+``slots`` calls at a time, the most urgent first, as engines that honour
+priorities do.  Time is driven, so a run depends on its seed alone.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import datetime
+import heapq
+import itertools
+import typing
+
+from aspenfold_standins import sim as sim_module
+
+from aspenfold._internal import admission
+from aspenfold._internal.attempts import actions as agent_actions
+from aspenfold._internal.attempts import kernel as agent_kernel
+from aspenfold._internal.calls import actions
+from aspenfold._internal.calls import call as call_module
+from aspenfold._internal.calls import kernel as entry_kernel
+from aspenfold._internal.configuration import patch
+from aspenfold._internal.configuration import reader
+from aspenfold._internal import exceptions
+from aspenfold._internal.kernel import frames
+from aspenfold._internal.models import fleet
+from aspenfold._internal.models import hosts
+from aspenfold._internal.models import records
+from aspenfold._internal import retries
+from aspenfold._internal import routing
+
+PLUGINS = (admission, retries, routing)
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+REPORT_MS = 500
+NETWORK_MS = 1.0
+SERVICE = 'svc'
+URGENCY = {'interactive': 0, 'generation': 1, 'batch': 2}
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Done:
+    """A caller's final answer."""
+
+    organisation: str
+    priority: str
+    sent_ms: float
+    taken_ms: float
+    failure: exceptions.Failure | None
+
+
+class Endpoint:
+    """A queue before ``slots`` servers, and its agent's kernel."""
+
+    def __init__(
+        self, *, model: 'Model', name: str, zone: str, slots: int
+    ) -> None:
+        self.model = model
+        self.name = name
+        self.zone = zone
+        self.slots = slots
+        self.busy = 0
+        self.started = 0
+        self.failing = 0.0
+        self.kernel = agent_kernel.AgentKernel(
+            incarnation=f'{name}-1', capacity=slots, answer_memory=1 << 16
+        )
+        self._queue: list[tuple[int, int, frames.AttemptRequest]] = []
+        self._order = itertools.count()
+        self._legs: dict[int, abc.Callable[[frames.Frame], None]] = {}
+
+    def execute(
+        self,
+        leg: int,
+        request: frames.AttemptRequest,
+        answer: abc.Callable[[frames.Frame], None],
+    ) -> None:
+        """Take an attempt; its frames go to ``answer``."""
+        self._legs[leg] = answer
+        self._apply(self.kernel.execute(leg, request, self.model.sim.now))
+
+    def _apply(self, result: list[agent_actions.Action]) -> None:
+        for action in result:
+            match action:
+                case agent_actions.Send(leg=leg, frame=frame):
+                    self._legs[leg](frame)
+                case agent_actions.CloseLeg(leg=leg):
+                    del self._legs[leg]
+                case agent_actions.CallEndpoint(request=request):
+                    urgency = URGENCY[request.priority]
+                    entry = (urgency, next(self._order), request)
+                    heapq.heappush(self._queue, entry)
+                    self._serve()
+
+    def _serve(self) -> None:
+        while self._queue and self.busy < self.slots:
+            _, _, request = heapq.heappop(self._queue)
+            self.busy += 1
+            self.started += 1
+            work = float(request.body)
+            self.model.sim.after(work, lambda r=request: self._end(r))
+
+    def _end(self, request: frames.AttemptRequest) -> None:
+        self.busy -= 1
+        attempt = request.attempt_id
+        if self.model.sim.rng.random() < self.failing:
+            failure = exceptions.Failure(
+                code=exceptions.Code.ENDPOINT_LOST, detail='brown-out'
+            )
+            self._apply(self.kernel.endpoint_failed(attempt, failure))
+        else:
+            head = frames.Head(status=200, content_type='x')
+            self._apply(self.kernel.endpoint_head(attempt, head))
+            self._apply(self.kernel.endpoint_items(attempt, (b'x',)))
+            now = self.model.sim.now
+            self._apply(self.kernel.endpoint_ended(attempt, now))
+        self._serve()
+
+
+class Model:
+    """Entries, endpoints and the answers that callers got."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        entries: int = 3,
+        endpoints: int = 6,
+        slots: int = 8,
+        policies: dict[str, str] | None = None,
+        organisations: list[dict[str, typing.Any]] | None = None,
+    ) -> None:
+        self.sim = sim_module.Sim(seed=seed)
+        self.done: list[Done] = []
+        self.attempts = 0
+        self._calls = itertools.count()
+        self._pending: dict[str, call_module.Call] = {}
+        names = [f'endpoint-{n}' for n in range(endpoints)]
+        self.endpoints = {
+            name: Endpoint(
+                model=self,
+                name=name,
+                zone=ZONES[number % len(ZONES)],
+                slots=slots,
+            )
+            for number, name in enumerate(names)
+        }
+        self.entries = [
+            entry_kernel.EntryKernel(
+                name=f'entry-{number}',
+                zone=ZONES[number % len(ZONES)],
+                system_key='k' * 16,
+                claim_streams=1,
+                rng=self.sim.rng,
+            )
+            for number in range(entries)
+        ]
+        document = _document(policies or {}, organisations)
+        listing = self._listing()
+        for entry in self.entries:
+            entry.fleet_page(_page(document))
+            entry.listed(listing)
+        self.sim.every(REPORT_MS, self._report)
+        self.sim.every(10, self._tick)
+
+    @property
+    def capacity(self) -> int:
+        """How many calls all endpoints run at once."""
+        return sum(e.slots for e in self.endpoints.values())
+
+    def send(
+        self,
+        entry: int,
+        priority: str,
+        work_ms: float,
+        *,
+        organisation: str = 'org-0',
+        deadline_ms: float = 5000,
+        streamed: bool = False,
+    ) -> None:
+        """Send a call that keeps an endpoint's slot for ``work_ms``."""
+        now = self.sim.now
+        call = call_module.Call(
+            call_id=f'call-{next(self._calls)}',
+            organisation=organisation,
+            service=SERVICE,
+            operation='run',
+            priority=fleet.Priority(priority),
+            repeatable=True,
+            streamed=streamed,
+            body=str(work_ms).encode(),
+            deadline=now + deadline_ms * sim_module.MS,
+            received_at=now,
+        )
+        self._pending[call.call_id] = call
+        kernel = self.entries[entry]
+        self._apply(kernel, kernel.submit(call, now))
+
+    def poisson(
+        self,
+        rate_per_s: float,
+        until_ms: float,
+        send: abc.Callable[[], None],
+    ) -> None:
+        """Call ``send`` at random moments until ``until_ms``."""
+
+        def again() -> None:
+            if self.sim.ms >= until_ms:
+                return
+            send()
+            self.sim.after(self.sim.rng.expovariate(rate_per_s / 1000), again)
+
+        self.sim.after(self.sim.rng.expovariate(rate_per_s / 1000), again)
+
+    def _apply(
+        self,
+        kernel: entry_kernel.EntryKernel,
+        result: list[actions.Action],
+    ) -> None:
+        for action in result:
+            match action:
+                case actions.OpenLeg():
+                    self._open(kernel, action)
+                case actions.Finish(call_id=call_id):
+                    self._ended(call_id, None)
+                case actions.Fail(call_id=call_id, failure=failure):
+                    self._ended(call_id, failure)
+
+    def _open(
+        self, kernel: entry_kernel.EntryKernel, action: actions.OpenLeg
+    ) -> None:
+        self.attempts += 1
+        endpoint = self.endpoints[action.host.name]
+
+        def answer(frame: frames.Frame) -> None:
+            self.sim.after(
+                NETWORK_MS,
+                lambda: self._apply(
+                    kernel, kernel.frame(action.leg, frame, self.sim.now)
+                ),
+            )
+
+        leg = self.attempts
+        self.sim.after(
+            NETWORK_MS, lambda: endpoint.execute(leg, action.request, answer)
+        )
+
+    def _ended(self, call_id: str, failure: exceptions.Failure | None) -> None:
+        call = self._pending.pop(call_id)
+        sent = (call.received_at - sim_module.START) / sim_module.MS
+        taken = (self.sim.now - call.received_at) / sim_module.MS
+        self.done.append(
+            Done(
+                organisation=call.organisation,
+                priority=call.priority.value,
+                sent_ms=sent,
+                taken_ms=taken,
+                failure=failure,
+            )
+        )
+
+    def _tick(self) -> None:
+        for kernel in self.entries:
+            self._apply(kernel, kernel.tick(self.sim.now))
+
+    def _report(self) -> None:
+        for endpoint in self.endpoints.values():
+            load = endpoint.kernel.load
+            for kernel in self.entries:
+                kernel.view.reported(
+                    endpoint.name,
+                    endpoint.kernel.incarnation,
+                    load,
+                    self.sim.now,
+                )
+
+    def _listing(self) -> hosts.HostList:
+        listed = [
+            _host(e.name, e.zone, hosts.Role.ENDPOINT)
+            for e in self.endpoints.values()
+        ]
+        listed += [
+            _host(k.name, k.zone, hosts.Role.ENTRY) for k in self.entries
+        ]
+        return hosts.HostList(version=1, hosts=listed)
+
+
+def _host(name: str, zone: str, role: hosts.Role) -> hosts.Host:
+    return hosts.Host.model_validate(
+        {
+            'name': name,
+            'availability_zone': zone,
+            'role': role,
+            'address': '127.0.0.1',
+            'port': 1,
+            'service': SERVICE if role is hosts.Role.ENDPOINT else '',
+        }
+    )
+
+
+def organisation(
+    name: str, weight: float = 1.0, **limits: float
+) -> dict[str, typing.Any]:
+    """Return an organisation of a fleet document."""
+    return {
+        'name': name,
+        'weight': weight,
+        'credential_sha256': ['0' * 64],
+        'limits': {
+            'requests_per_second': 1e9,
+            'burst': 1e9,
+            'in_flight': 10**9,
+            **limits,
+        },
+    }
+
+
+def _document(
+    policies: dict[str, str],
+    organisations: list[dict[str, typing.Any]] | None,
+) -> patch.Document:
+    data = {
+        'format': 1,
+        'name': 'bench',
+        'regions': [{'name': 'here', 'availability_zones': list(ZONES)}],
+        'organisations': organisations or [organisation('org-0')],
+        'services': [
+            {
+                'name': SERVICE,
+                'kind': 'plain',
+                'operations': [{'name': 'run', 'path': '/run'}],
+                'workers': {ZONES[0]: 1},
+                'policies': policies,
+            }
+        ],
+        'rules': [{'priority': 'interactive'}],
+    }
+    return fleet.Fleet.model_validate(data).model_dump(mode='json')
+
+
+def _page(document: patch.Document) -> reader.Page:
+    record = records.ConfigChange(
+        id='bench',
+        author='bench',
+        at=datetime.datetime.now(datetime.timezone.utc),
+        base_version=0,
+        digest=patch.digest(document),
+        patch=patch.diff({}, document),
+    )
+    body = record.model_dump(mode='json')
+    return reader.Page(
+        records=[reader.LogRecord(offset=1, body=body)], first=1, next=2
+    )
+
+
+def quantile(values: abc.Sequence[float], share: float) -> float:
+    """Return the value below which ``share`` of ``values`` lie."""
+    if not values:
+        return float('nan')
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def outcomes(done: abc.Iterable[Done]) -> collections.Counter[str]:
+    """Count answers by code, ``whole`` for none."""
+    return collections.Counter(
+        d.failure.code.name if d.failure else 'whole' for d in done
+    )
--- a/src/aspenfold/_internal/admission/lanes.py
+++ b/src/aspenfold/_internal/admission/lanes.py
@@ -1,6 +1,7 @@
 """Priority lanes with reserved room, and deadline-aware refusal."""
 
 import datetime
+import math
 
 from aspenfold._internal.admission import policy
 from aspenfold._internal import exceptions
@@ -9,11 +10,16 @@
 
 LANE_BOUND: dict[fleet.Priority, float] = {
     fleet.Priority.INTERACTIVE: 3.0,
-    fleet.Priority.GENERATION: 1.2,
+    fleet.Priority.GENERATION: 2.0,
     fleet.Priority.BATCH: 0.8,
 }
-"""Mean pressure above which a lane is closed; the room between a lane's
-bound and the next is reserved for the lanes above it."""
+"""Mean pressure above which a lane is closed."""
+
+BURST = 3.0
+"""Standard deviations of interactive work that room is kept for."""
+
+MIN_ROOM = 0.02
+"""Share of capacity kept free while there are interactive calls."""
 
 MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
 MAX_RETRY_AFTER = datetime.timedelta(seconds=30)
@@ -30,7 +36,7 @@
         pressure: policy.Pressure,
     ) -> exceptions.Failure | None:
         """Refuse for a closed lane or a wait beyond the deadline."""
-        if pressure.mean >= LANE_BOUND[priority]:
+        if pressure.mean >= _bound(priority, pressure):
             return _overloaded(f'the {priority.value} lane is full', pressure)
         if _estimated_wait(pressure) >= remaining:
             return _overloaded(
@@ -39,6 +45,21 @@
         return None
 
 
+def _bound(priority: fleet.Priority, pressure: policy.Pressure) -> float:
+    """Return the pressure at which a lane closes.
+
+    While there are interactive calls, the other lanes leave room for a
+    burst of them.  The work of independent calls varies by the square
+    root of its mean, so the room is small where capacity is large.
+    Without interactive calls nothing is kept free.
+    """
+    bound = LANE_BOUND[priority]
+    if priority is fleet.Priority.INTERACTIVE or not pressure.urgent:
+        return bound
+    room = BURST * math.sqrt(pressure.urgent / max(1, pressure.capacity))
+    return min(bound, 1.0 - MIN_ROOM - room)
+
+
 def _estimated_wait(pressure: policy.Pressure) -> datetime.timedelta:
     queued = max(0.0, pressure.mean - 1.0)
     return pressure.service_time * queued
--- a/src/aspenfold/_internal/admission/policy.py
+++ b/src/aspenfold/_internal/admission/policy.py
@@ -16,9 +16,13 @@
 
     ``mean`` is the mean of its endpoints' pressures (1.0: all run as
     much as they can at once); ``service_time`` a moving average.
+    ``capacity`` is how many calls they run at once, ``urgent`` the
+    share of it that interactive calls have used lately.
     """
 
     mean: float
+    capacity: int
+    urgent: float
     service_time: datetime.timedelta
 
 
--- a/src/aspenfold/_internal/attempts/attempt.py
+++ b/src/aspenfold/_internal/attempts/attempt.py
@@ -29,6 +29,7 @@
     digest: bytes
     repeatable: bool
     deadline: datetime.datetime
+    urgent: bool = False
     resume_from: int = 0
     state: State = State.RUNNING
     head: frames.Head | None = None
--- a/src/aspenfold/_internal/attempts/kernel.py
+++ b/src/aspenfold/_internal/attempts/kernel.py
@@ -11,8 +11,10 @@
 
 from aspenfold._internal.attempts import actions
 from aspenfold._internal.attempts import attempt as attempt_module
+from aspenfold._internal.attempts import room as room_module
 from aspenfold._internal import exceptions
 from aspenfold._internal.kernel import frames
+from aspenfold._internal.models import fleet
 
 KEEP = datetime.timedelta(hours=1)
 """How long past its deadline an attempt is remembered."""
@@ -20,6 +22,8 @@
 QUEUE_FACTOR = 4
 """Attempts accepted, as a multiple of what the endpoint runs at once."""
 
+URGENT = fleet.Priority.INTERACTIVE.value
+
 State = attempt_module.State
 Code = exceptions.Code
 
@@ -56,6 +60,8 @@
         self._joiners: list[_Joiner] = []
         self._legs: dict[int, str] = {}
         self._running = 0
+        self._urgent_running = 0
+        self._room = room_module.UrgentRoom(capacity=capacity)
         self._now: datetime.datetime | None = None
 
     @property
@@ -228,6 +234,9 @@
             return self._refuse(leg, request, refusal, '')
         known = self._remember(request, State.RUNNING)
         self._running += 1
+        if known.urgent:
+            self._urgent_running += 1
+            self._room.started(now)
         result: list[actions.Action] = [actions.CallEndpoint(request=request)]
         result.extend(self._attach(leg, request, known))
         result.extend(self._attach_joiners(known))
@@ -242,6 +251,12 @@
             return Code.DEADLINE_PASSED
         if self._running >= self._capacity * QUEUE_FACTOR:
             return Code.OVERLOADED
+        if request.priority == URGENT:
+            return None
+        bound = self._room.others_bound(now)
+        others = self._running - self._urgent_running
+        if bound is not None and others >= bound:
+            return Code.OVERLOADED
         return None
 
     def _join(
@@ -273,6 +288,7 @@
             digest=request.digest,
             repeatable=request.repeatable,
             deadline=request.deadline,
+            urgent=request.priority == URGENT,
             resume_from=request.resume_from,
             state=state,
         )
@@ -383,6 +399,9 @@
 
     def _finish(self, known: attempt_module.Attempt) -> None:
         self._running -= 1
+        if known.urgent:
+            self._urgent_running -= 1
+            self._room.ended()
         if known.state is not State.DONE:
             known.items.clear()
             known.size = 0
--- /dev/null
+++ b/src/aspenfold/_internal/attempts/room.py
@@ -0,0 +1,48 @@
+"""Room that an endpoint keeps free for interactive calls."""
+
+import datetime
+import math
+
+IDLE = datetime.timedelta(seconds=10)
+"""Time without interactive calls after which no room is kept."""
+
+WEIGHT = 0.02
+"""Weight of the newest sample in the moving average."""
+
+BURST = 2.0
+"""Standard deviations of interactive work that room is kept for."""
+
+MAX_SHARE = 0.5
+"""At most this share of the endpoint is kept free."""
+
+
+class UrgentRoom:
+    """Follows how many interactive calls run at once.
+
+    Entries see an endpoint's load late, and each only its own calls; the
+    agent is the one place where the last free slot can be kept.
+    """
+
+    def __init__(self, *, capacity: int) -> None:
+        self._capacity = capacity
+        self._running = 0
+        self._mean = 0.0
+        self._last: datetime.datetime | None = None
+
+    def started(self, now: datetime.datetime) -> None:
+        """An interactive call was accepted."""
+        self._mean += (self._running - self._mean) * WEIGHT
+        self._running += 1
+        self._last = now
+
+    def ended(self) -> None:
+        """An interactive call ended."""
+        self._running -= 1
+
+    def others_bound(self, now: datetime.datetime) -> int | None:
+        """Return how many other calls may run, None for no bound."""
+        if self._last is None or now > self._last + IDLE:
+            return None
+        wanted = self._mean + BURST * math.sqrt(self._mean)
+        room = min(max(1, math.ceil(wanted)), int(self._capacity * MAX_SHARE))
+        return self._capacity - room
--- a/src/aspenfold/_internal/calls/kernel.py
+++ b/src/aspenfold/_internal/calls/kernel.py
@@ -71,6 +71,9 @@
         self._by_key: dict[str, set[str]] = collections.defaultdict(set)
         self._policies: dict[tuple[str, str], typing.Any] = {}
         self._service_time: dict[str, datetime.timedelta] = {}
+        self._urgent: collections.Counter[str] = collections.Counter()
+        self._urgent_mean: dict[str, float] = {}
+        self._entries = 1
         self.answered: collections.Counter[str] = collections.Counter()
 
     # -- what flows need, see calls.hub ----------------------------------
@@ -101,7 +104,8 @@
         policy: routing_policy.RoutingPolicy = self._policy(
             routing_policy.KIND, call.service, zone=self.zone, rng=self._rng
         )
-        return policy.choose(candidates, call.prefix)
+        urgent = call.priority is fleet_model.Priority.INTERACTIVE
+        return policy.choose(candidates, call.prefix, urgent)
 
     def endpoint(self, name: str) -> endpoint_module.Endpoint | None:
         """Return what is known of an endpoint."""
@@ -167,6 +171,7 @@
         if flow.scoped_key:
             self._by_key[flow.scoped_key].add(call.call_id)
         self._retry(call.service).request()
+        self._count_urgent(call, 1)
         return self._settle(flow, flow.start(now))
 
     def caller_left(self, call_id: str) -> list[actions.Action]:
@@ -245,7 +250,8 @@
         """Take a reading of the host list."""
         self.view.listed(listing)
         entries = sum(h.role is hosts.Role.ENTRY for h in listing.hosts)
-        self.limiter.set_share(1.0 / max(1, entries))
+        self._entries = max(1, entries)
+        self.limiter.set_share(1.0 / self._entries)
 
     def tick(self, now: datetime.datetime) -> list[actions.Action]:
         """Run all timers that are due."""
@@ -309,16 +315,33 @@
         self, call: call_module.Call, now: datetime.datetime
     ) -> admission_policy.Pressure:
         candidates = self.view.routable(call.service, now)
-        mean = 0.0
-        if candidates:
-            mean = sum(c.pressure for c in candidates) / len(candidates)
+        pressures = [candidate.pressure for candidate in candidates]
+        mean = sum(pressures) / max(1, len(pressures))
+        capacity = sum(candidate.load.capacity for candidate in candidates)
         return admission_policy.Pressure(
             mean=mean,
+            capacity=capacity,
+            urgent=self._urgent_share(call.service, capacity),
             service_time=self._service_time.get(
                 call.service, INITIAL_SERVICE_TIME
             ),
         )
 
+    def _urgent_share(self, service: str, capacity: int) -> float:
+        """Return the share of capacity that interactive calls use.
+
+        All entries are taken to have as many of them as this one.
+        """
+        here = self._urgent.get(service, 0)
+        before = self._urgent_mean.get(service, 0.0)
+        mean = before + (here - before) * LATENCY_SHARE
+        self._urgent_mean[service] = mean
+        return mean * self._entries / max(1, capacity)
+
+    def _count_urgent(self, call: call_module.Call, by: int) -> None:
+        if call.priority is fleet_model.Priority.INTERACTIVE:
+            self._urgent[call.service] += by
+
     def _settle(
         self, flow: flow_module.CallFlow, result: list[actions.Action]
     ) -> list[actions.Action]:
@@ -336,6 +359,7 @@
         if self._flows.pop(call.call_id, None) is None:
             return result
         self.limiter.release(call.organisation)
+        self._count_urgent(call, -1)
         if flow.scoped_key:
             waiting = self._by_key[flow.scoped_key]
             waiting.discard(call.call_id)
--- a/src/aspenfold/_internal/configuration/fold.py
+++ b/src/aspenfold/_internal/configuration/fold.py
@@ -65,10 +65,10 @@
     if document is None or patch.digest(document) != record.digest:
         return Verdict.BAD_DIGEST
     try:
-        fleet_model.Fleet.model_validate(document)
+        fleet = fleet_model.Fleet.model_validate(document)
     except pydantic.ValidationError:
         return Verdict.INVALID
-    state.set_document(offset, document)
+    state.set_document(offset, document, fleet)
     return Verdict.ACCEPTED
 
 
--- a/src/aspenfold/_internal/configuration/patch.py
+++ b/src/aspenfold/_internal/configuration/patch.py
@@ -24,7 +24,10 @@
 def apply(document: Document, patch: typing.Any) -> Document | None:
     """Return ``document`` with ``patch`` applied, None if it cannot be."""
     try:
-        result = jsonpatch.JsonPatch(patch).apply(document)
+        # The library would copy node by node, which takes five times as
+        # long for a fleet of 4,600 organisations.
+        copied = orjson.loads(orjson.dumps(document))
+        result = jsonpatch.JsonPatch(patch).apply(copied, in_place=True)
     except (
         jsonpatch.JsonPatchException,
         jsonpointer.JsonPointerException,
--- a/src/aspenfold/_internal/configuration/state.py
+++ b/src/aspenfold/_internal/configuration/state.py
@@ -60,11 +60,16 @@
             self._fleet = fleet_model.Fleet.model_validate(self.document)
         return self._fleet
 
-    def set_document(self, version: int, document: patch.Document) -> None:
-        """Put ``document`` in force as ``version``."""
+    def set_document(
+        self,
+        version: int,
+        document: patch.Document,
+        fleet: fleet_model.Fleet,
+    ) -> None:
+        """Put ``document``, validated as ``fleet``, in force."""
         self.version = version
         self.document = document
-        self._fleet = None
+        self._fleet = fleet
 
     def lease_token(self, name: str) -> int:
         """Return the fencing token last granted for ``name``, or 0."""
--- a/src/aspenfold/_internal/membership/endpoint.py
+++ b/src/aspenfold/_internal/membership/endpoint.py
@@ -21,6 +21,7 @@
     load: frames.Load = dataclasses.field(default_factory=frames.Load)
     reported: datetime.datetime | None = None
     in_flight: int = 0
+    in_flight_at_report: int = 0
     failures: int = 0
     latency: float = 0.0
     ejected_until: datetime.datetime | None = None
@@ -43,8 +44,21 @@
     def pressure(self) -> float:
         """Work in flight over capacity; 1.0 is full.
 
-        The agent counts all entries' work but lags by a report; our own
-        count does not lag.  The larger of both is nearer the truth.
+        The agent counts all entries' work, but as of its last word; what
+        this entry has sent and got back since then is added.
         """
         seen = self.load.running + self.load.waiting
-        return max(seen, self.in_flight) / max(1, self.load.capacity)
+        since = self.in_flight - self.in_flight_at_report
+        return max(seen + since, self.in_flight) / max(1, self.load.capacity)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more call would start at once."""
+        capacity = max(1, self.load.capacity)
+        return self.pressure <= 1.0 - 1.0 / capacity
+
+    def take_load(self, load: frames.Load, now: datetime.datetime) -> None:
+        """Take the agent's word on its load."""
+        self.load = load
+        self.reported = now
+        self.in_flight_at_report = self.in_flight
--- a/src/aspenfold/_internal/membership/view.py
+++ b/src/aspenfold/_internal/membership/view.py
@@ -44,6 +44,7 @@
         self._groups: dict[str, list[endpoint_module.Endpoint]] = {}
         self._endpoints: dict[str, endpoint_module.Endpoint] = {}
         self._members: dict[str, state_module.Member] = {}
+        self._interval = MIN_REPORT_INTERVAL
         self.host_list_version = -1
 
     def all(self) -> list[endpoint_module.Endpoint]:
@@ -84,9 +85,7 @@
 
     def report_interval(self) -> datetime.timedelta:
         """Return how long a watched endpoint may go without a report."""
-        count = sum(len(some) for some in self._watched.values())
-        seconds = count * REPORT_BYTES / REPORT_BYTES_PER_SECOND
-        return max(MIN_REPORT_INTERVAL, datetime.timedelta(seconds=seconds))
+        return self._interval
 
     def folded(self, members: dict[str, state_module.Member]) -> None:
         """Take the members as the fleet stream has them."""
@@ -107,8 +106,7 @@
             known.incarnation = incarnation
             known.admitted = now
             known.failures = 0
-        known.load = load
-        known.reported = now
+        known.take_load(load, now)
 
     def heard(
         self, name: str, load: frames.Load, now: datetime.datetime
@@ -116,8 +114,7 @@
         """Take the load that rode on a frame."""
         known = self._endpoints.get(name)
         if known is not None:
-            known.load = load
-            known.reported = now
+            known.take_load(load, now)
 
     def succeeded(self, name: str) -> None:
         """An attempt there ended well."""
@@ -145,11 +142,7 @@
     def leaving(self, name: str) -> bool:
         """Return whether any source says that the endpoint leaves."""
         known = self._endpoints.get(name)
-        if known is None or name in self._members:
-            return True
-        return (
-            known.load.draining or known.host.state is hosts.HostState.LEAVING
-        )
+        return known is None or self._leaving(known)
 
     def drain_order(self, name: str, newest: int) -> frames.DrainOrder:
         """Return what the endpoint's agent is to be told.
@@ -169,20 +162,22 @@
         self, service: str, now: datetime.datetime
     ) -> list[endpoint_module.Endpoint]:
         """Return the endpoints of ``service`` that may get new work."""
+        oldest = now - self._interval * SILENT_INTERVALS
         return [
             known
-            for known in self._watched.get(service, [])
-            if self._usable(known, now)
+            for known in self._watched.get(service, ())
+            if known.reported is not None
+            and known.reported >= oldest
+            and (known.ejected_until is None or known.ejected_until <= now)
+            and not self._leaving(known)
         ]
 
-    def _usable(
-        self, known: endpoint_module.Endpoint, now: datetime.datetime
-    ) -> bool:
-        if known.reported is None or self.leaving(known.name):
-            return False
-        if now - known.reported > self.report_interval() * SILENT_INTERVALS:
-            return False
-        return known.ejected_until is None or known.ejected_until <= now
+    def _leaving(self, known: endpoint_module.Endpoint) -> bool:
+        return (
+            known.load.draining
+            or known.host.state is hosts.HostState.LEAVING
+            or known.name in self._members
+        )
 
     def _may_eject(
         self, known: endpoint_module.Endpoint, now: datetime.datetime
@@ -223,3 +218,8 @@
                 self._owner, everyone, other[service], OTHER_ZONES_SUBSET
             )
             self._watched[service] = [self._endpoints[n] for n in names]
+        count = sum(len(some) for some in self._watched.values())
+        seconds = count * REPORT_BYTES / REPORT_BYTES_PER_SECOND
+        self._interval = max(
+            MIN_REPORT_INTERVAL, datetime.timedelta(seconds=seconds)
+        )
--- a/src/aspenfold/_internal/models/fleet.py
+++ b/src/aspenfold/_internal/models/fleet.py
@@ -1,5 +1,6 @@
 """The fleet file: the whole desired fleet as one JSON document."""
 
+import collections
 import enum
 import typing
 
@@ -231,5 +232,6 @@
 
 
 def _twice(field: str, values: list[str]) -> list[str]:
-    repeated = {value for value in values if values.count(value) > 1}
-    return [f'{field}: {name!r} stands twice' for name in sorted(repeated)]
+    counts = collections.Counter(values)
+    repeated = sorted(name for name, count in counts.items() if count > 1)
+    return [f'{field}: {name!r} stands twice' for name in repeated]
--- a/src/aspenfold/_internal/retries/budget.py
+++ b/src/aspenfold/_internal/retries/budget.py
@@ -6,7 +6,7 @@
 from aspenfold._internal.kernel import registry
 from aspenfold._internal.retries import policy
 
-SHARE = 0.1
+SHARE = 0.08
 """Retries earned by each first attempt."""
 
 RESERVE = 10.0
--- a/src/aspenfold/_internal/routing/policy.py
+++ b/src/aspenfold/_internal/routing/policy.py
@@ -19,9 +19,12 @@
         self,
         candidates: abc.Sequence[endpoint_module.Endpoint],
         prefix: str,
+        urgent: bool,
     ) -> endpoint_module.Endpoint:
         """Return one of ``candidates``, which is never empty.
 
+        ``urgent``: the call is interactive and must not wait.
+
         ``prefix`` is a hash of the start of the prompt; requests that
         share it profit from one endpoint's prefix cache.
         """
--- a/src/aspenfold/_internal/routing/random_choice.py
+++ b/src/aspenfold/_internal/routing/random_choice.py
@@ -19,6 +19,7 @@
         self,
         candidates: abc.Sequence[endpoint_module.Endpoint],
         prefix: str,
+        urgent: bool,
     ) -> endpoint_module.Endpoint:
         """Return any candidate."""
         return self._rng.choice(candidates)
--- a/src/aspenfold/_internal/routing/round_robin.py
+++ b/src/aspenfold/_internal/routing/round_robin.py
@@ -20,6 +20,7 @@
         self,
         candidates: abc.Sequence[endpoint_module.Endpoint],
         prefix: str,
+        urgent: bool,
     ) -> endpoint_module.Endpoint:
         """Return the next candidate in turn."""
         return candidates[next(self._turn) % len(candidates)]
--- a/src/aspenfold/_internal/routing/two_choices.py
+++ b/src/aspenfold/_internal/routing/two_choices.py
@@ -11,6 +11,10 @@
 SPILL_PRESSURE = 0.8
 """Mean pressure of the own zone above which other zones take a share."""
 
+URGENT_CHOICES = 8
+"""Choices for an interactive call, which must find a free place; more
+would send all entries to the one endpoint that looked idle last."""
+
 AFFINITY_BOUND = 1.25
 """The prefix's home is used up to this multiple of the mean pressure."""
 
@@ -30,6 +34,7 @@
         self,
         candidates: abc.Sequence[endpoint_module.Endpoint],
         prefix: str,
+        urgent: bool,
     ) -> endpoint_module.Endpoint:
         """Return the prefix's home or the less loaded of two."""
         pool = self._pool(candidates)
@@ -37,7 +42,13 @@
             home = self._home(pool, prefix)
             if home.pressure <= self._bound(pool):
                 return home
-        return self._less_loaded(pool)
+        if not urgent:
+            return self._least_loaded(pool, 2)
+        chosen = self._least_loaded(pool, URGENT_CHOICES)
+        if chosen.has_room:
+            return chosen
+        # A millisecond to another zone is less than a wait here.
+        return self._least_loaded(candidates, URGENT_CHOICES)
 
     def _pool(
         self, candidates: abc.Sequence[endpoint_module.Endpoint]
@@ -60,12 +71,11 @@
     def _bound(self, pool: abc.Sequence[endpoint_module.Endpoint]) -> float:
         return _mean_pressure(pool) * AFFINITY_BOUND + AFFINITY_SLACK
 
-    def _less_loaded(
-        self, pool: abc.Sequence[endpoint_module.Endpoint]
+    def _least_loaded(
+        self, pool: abc.Sequence[endpoint_module.Endpoint], choices: int
     ) -> endpoint_module.Endpoint:
-        one = self._rng.choice(pool)
-        two = self._rng.choice(pool)
-        return one if one.pressure <= two.pressure else two
+        drawn = [self._rng.choice(pool) for _ in range(choices)]
+        return min(drawn, key=lambda c: c.pressure)
 
 
 def _mean_pressure(pool: abc.Sequence[endpoint_module.Endpoint]) -> float:
--- a/standins/aspenfold_standins/launcher.py
+++ b/standins/aspenfold_standins/launcher.py
@@ -113,6 +113,7 @@
         self.children: dict[str, Child] = {}
         self.hosts: dict[str, dict[str, typing.Any]] = {}
         self.entry_peers: list[int] = []
+        self.engine_options: tuple[str, ...] = ()
         self._errors = open(  # noqa: SIM115
             directory / 'stderr.txt', 'a', encoding='utf-8'
         )
@@ -334,7 +335,10 @@
         weights = self.children['weights'].url
         plans = {
             f'engine-{group.name}': self._standin(
-                'engine', f'--ranks={group.ranks}', f'--weights={weights}'
+                'engine',
+                f'--ranks={group.ranks}',
+                f'--weights={weights}',
+                *self.engine_options,
             )
             for group in self.fleet.groups
         }
--- a/tests/lib/plays.py
+++ b/tests/lib/plays.py
@@ -59,3 +59,18 @@
     world.break_legs()
     world.sim.run(12_000)
     return world
+
+
+def forgetful(seed: int) -> world_module.World:
+    """Both agents restart, without memory, while a job runs."""
+    world = world_module.World(seed=seed, entries=2, endpoints=2)
+    for endpoint in world.endpoints.values():
+        endpoint.service_ms = 500.0
+    world.submit('job', 'entry-0', key='sale')
+    world.sim.run(200)
+    world.start_agent('till-0')
+    world.start_agent('till-1')
+    world.sim.run(3000)
+    world.submit('job', 'entry-1', key='sale')
+    world.sim.run(12_000)
+    return world
--- a/tests/unit/test_fleet_machine.py
+++ b/tests/unit/test_fleet_machine.py
@@ -15,6 +15,7 @@
 from aspenfold._internal.configuration import patch
 from aspenfold._internal.configuration import reader
 from aspenfold._internal.configuration import state as state_module
+from aspenfold._internal.models import fleet
 from aspenfold._internal.models import records
 
 STREAM = records.FLEET_STREAM
@@ -164,7 +165,7 @@
     document = patch.apply(state.document, record.patch)
     if document is None:
         return fold.Verdict.INVALID
-    state.set_document(offset, document)
+    state.set_document(offset, document, fleet.Fleet.model_validate(document))
     return fold.Verdict.ACCEPTED
 
 
--- a/tests/unit/test_guards.py
+++ b/tests/unit/test_guards.py
@@ -11,6 +11,7 @@
 from tests.lib import world as world_module
 
 MAX_SEEDS = 25
+MORE_SEEDS = 400
 Check = abc.Callable[[world_module.World], list[str]]
 Run = abc.Callable[[int], world_module.World]
 
@@ -25,23 +26,30 @@
     return history.whole_answers(world) + history.all_answered(world)
 
 
-# Mutation, the check that must fail, the runs, and the first seed: seeds
-# before it were seen to break nothing.
+def seeds_from(first: int) -> list[int]:
+    """Return the seeds to try: the likely ones, then all others.
+
+    Which seed shows a rare case shifts with every change of a policy.
+    """
+    return [*range(first, first + MAX_SEEDS), *range(MORE_SEEDS)]
+
+
+# Mutation, the check that must fail, the runs, and the first seed to try.
 CASES: list[tuple[m.Mutation, Check, Run, int]] = [
     (m.no_order, broken_answers, random_calls, 0),
     (m.no_end_check, broken_answers, random_calls, 11),
-    (m.resume_from_start, broken_answers, random_calls, 36),
+    (m.resume_from_start, broken_answers, random_calls, 17),
     (m.silent_end, broken_answers, random_calls, 0),
     (m.no_seal, history.at_most_once, plays.overtaken, 0),
     (m.ask_nobody, history.not_run_is_true, random_calls, 6),
     (m.any_not_run, history.not_run_is_true, random_calls, 2),
-    (m.trust_followed, history.not_run_is_true, random_calls, 208),
+    (m.trust_followed, history.not_run_is_true, random_calls, 84),
     (m.no_settled_position, history.not_run_is_true, plays.late_request, 0),
-    (m.claim_by_last_writer, history.at_most_once, plays.rival_claims, 31),
-    (m.no_claim, history.at_most_once, random_calls, 14),
+    (m.claim_by_last_writer, history.at_most_once, plays.rival_claims, 17),
+    (m.no_claim, history.at_most_once, random_calls, 48),
     (m.repeat_anything, history.at_most_once, random_calls, 1),
     (m.forget_attempts, history.at_most_once, random_calls, 0),
-    (m.any_incarnation, history.at_most_once, random_calls, 148),
+    (m.any_incarnation, history.at_most_once, plays.forgetful, 0),
 ]
 
 
@@ -59,14 +67,20 @@
 ) -> None:
     """Without the guard some run breaks the point."""
     mutation(monkeypatch)
-    for seed in range(first, first + MAX_SEEDS):
+    for seed in seeds_from(first):
         if check(run(seed)):
             return
-    pytest.fail(f'{MAX_SEEDS} runs without the guard broke nothing')
+    pytest.fail('the runs without the guard broke nothing')
 
 
 @pytest.mark.parametrize(
-    'run', [plays.rival_claims, plays.late_request, plays.overtaken]
+    'run',
+    [
+        plays.rival_claims,
+        plays.late_request,
+        plays.overtaken,
+        plays.forgetful,
+    ],
 )
 def test_plays_are_sound_with_their_guards(run: Run) -> None:
     """The scripted runs keep all promises."""
@@ -99,10 +113,10 @@
 ) -> None:
     """Without the guard some run uses two maps in a step."""
     mutation(monkeypatch)
-    for seed in range(first, first + MAX_SEEDS):
+    for seed in seeds_from(first):
         if group_world.one_map_each_step(run(seed)):
             return
-    pytest.fail(f'{MAX_SEEDS} runs without the guard broke nothing')
+    pytest.fail('the runs without the guard broke nothing')
 
 
 def test_lost_rank_is_sound_with_its_guard() -> None:
