--- a/src/aspenfold/_internal/calls/flow.py
+++ b/src/aspenfold/_internal/calls/flow.py
@@ -5,12 +5,13 @@
 attempt of the call was either tombstoned by its agent or never sent.
 """
 
-import dataclasses
 import datetime
 import enum
 
 from aspenfold._internal.calls import actions
+from aspenfold._internal.calls import attempt as attempt_module
 from aspenfold._internal.calls import call as call_module
+from aspenfold._internal.calls import fate
 from aspenfold._internal.calls import hub as hub_module
 from aspenfold._internal.claims import fold as claim_fold
 from aspenfold._internal.claims import ticket as ticket_module
@@ -46,26 +47,6 @@
     ENDED = 'ended'
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Attempt:
-    """An attempt as the entry sees it.
-
-    ``own`` tells whether this flow made it; ``sent`` whether a message
-    that may start it may have reached the agent.
-    """
-
-    attempt_id: str
-    endpoint: str
-    incarnation: str
-    deadline: datetime.datetime
-    own: bool
-    mode: frames.Mode
-    sent: bool = False
-    never_runs: bool = False
-    resume_from: int = 0
-    asked: int = 0
-
-
 class CallFlow:
     """The state machine of one call."""
 
@@ -77,7 +58,7 @@
         self.endpoint = ''
         self._hub = hub
         self._assembler = assembler.Assembler()
-        self._attempt: Attempt | None = None
+        self._attempt: attempt_module.Attempt | None = None
         self._attempts_made = 0
         self._leg: int | None = None
         self._maybe_ran = False
@@ -258,7 +239,7 @@
                 )
             )
         self._held_offset = holder.offset
-        self._attempt = Attempt(
+        self._attempt = attempt_module.Attempt(
             attempt_id=claim.attempt_id,
             endpoint=claim.endpoint,
             incarnation=claim.incarnation,
@@ -288,7 +269,7 @@
             return self._fail(
                 _failure(Code.KEY_NOT_JUDGEABLE, 'the ticket has expired')
             )
-        self._attempt = Attempt(
+        self._attempt = attempt_module.Attempt(
             attempt_id='t' + ticket.nonce,
             endpoint=ticket.endpoint,
             incarnation=ticket.incarnation,
@@ -308,14 +289,14 @@
         self._attempt = attempt
         return self._open(now)
 
-    def _choose(self, now: datetime.datetime) -> Attempt | None:
+    def _choose(self, now: datetime.datetime) -> attempt_module.Attempt | None:
         avoid = self._attempt.endpoint if self._attempt else ''
         chosen = self._hub.choose(self.call, avoid, now)
         if chosen is None:
             return None
         self._attempts_made += 1
         resume = self._assembler.next_item if self.call.repeatable else 0
-        return Attempt(
+        return attempt_module.Attempt(
             attempt_id=self._hub.new_id(),
             endpoint=chosen.name,
             incarnation=chosen.incarnation,
@@ -523,24 +504,13 @@
         return result
 
     def _truthful(self, failure: exceptions.Failure) -> exceptions.Failure:
-        """Return ``failure`` with a code that says only what is known."""
-        if failure.outcome is Outcome.RAN:
-            return failure
-        if self._head_sent:
-            return dataclasses.replace(failure, code=Code.ANSWER_CUT)
-        if failure.outcome is Outcome.UNKNOWN:
-            return failure
-        if failure.code in (Code.KEY_REUSED, Code.BAD_TICKET):
-            return failure
-        if self.call.key and not self._holds_unrun:
-            return undecided(failure)
-        if not self._maybe_ran:
-            return failure
-        return dataclasses.replace(
-            failure,
-            code=Code.FATE_UNKNOWN,
-            detail=f'{failure.detail}; an attempt may have run',
+        known = fate.Knowledge(
+            keyed=bool(self.call.key),
+            holds_unrun=self._holds_unrun,
+            maybe_ran=self._maybe_ran,
+            started=self._head_sent,
         )
+        return fate.truthful(failure, known)
 
     # -- parts -----------------------------------------------------------
 
@@ -579,22 +549,6 @@
         )
 
 
-def undecided(failure: exceptions.Failure) -> exceptions.Failure:
-    """Return the refusal of a keyed call whose key was not judged.
-
-    An earlier submission of the key may have run, so this entry must
-    not say "not run".
-    """
-    return dataclasses.replace(
-        failure,
-        code=Code.KEY_UNDECIDED,
-        detail=f'{failure.detail} ({int(failure.code)}); an earlier '
-        'submission of the key may have run',
-        remedy='submit again with the same key',
-        retry_after=failure.retry_after or datetime.timedelta(seconds=1),
-    )
-
-
 def _failure(
     code: Code,
     detail: str,
--- a/src/aspenfold/_internal/calls/kernel.py
+++ b/src/aspenfold/_internal/calls/kernel.py
@@ -10,6 +10,7 @@
 from aspenfold._internal.admission import policy as admission_policy
 from aspenfold._internal.calls import actions
 from aspenfold._internal.calls import call as call_module
+from aspenfold._internal.calls import fate
 from aspenfold._internal.calls import flow as flow_module
 from aspenfold._internal.claims import fold as claim_fold
 from aspenfold._internal.configuration import reader as reader_module
@@ -168,7 +169,7 @@
         failure = self._admit(call, now)
         if failure is not None:
             if call.key:
-                failure = flow_module.undecided(failure)
+                failure = fate.undecided(failure)
             self.answered[str(int(failure.code))] += 1
             return [actions.Fail(call_id=call.call_id, failure=failure)]
         flow = flow_module.CallFlow(call=call, hub=self)
--- a/src/aspenfold/_internal/processes/agent.py
+++ b/src/aspenfold/_internal/processes/agent.py
@@ -1,12 +1,10 @@
 """The agent's process: the one small process beside each endpoint."""
 
 import asyncio
-from collections import abc
 import json
 import random
 import secrets
 import signal
-import typing
 
 import grpclib.server
 
@@ -26,6 +24,7 @@
 from aspenfold._internal.network import listen
 from aspenfold._internal.observability import events
 from aspenfold._internal.processes import group_member
+from aspenfold._internal.processes import tasks
 from aspenfold._internal.rpc import aspenfold_pb2 as pb
 
 TICK = 0.05
@@ -56,7 +55,7 @@
         self._clock = clock
         self._version = 0
         self._legs: dict[int, leg_module.Leg] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = tasks.Tasks()
         self._clients = agent_client.AgentClients(system_key=cfg.system_key)
         self._stop = asyncio.Event()
         self._member: group_member.GroupMember | None = None
@@ -72,7 +71,7 @@
         auth.guard(server, self._cfg.system_key)
         port = await listen.start(server, self._cfg.listen, 'listen')
         self._join_group()
-        self._spawn(self._tick())
+        self._tasks.spawn(self._tick())
         print(json.dumps({'ready': self.name, 'port': port}), flush=True)
         events.emit(
             events.Event.STARTED,
@@ -84,6 +83,7 @@
         await self._drain()
         server.close()
         await server.wait_closed()
+        self._tasks.cancel()
         self._endpoint.close()
         self._clients.close()
         events.emit(events.Event.STOPPED, name=self.name)
@@ -187,9 +187,9 @@
             rng=random.Random(secrets.randbits(64)),
             clients=self._clients,
             endpoint=self._endpoint,
-            spawn=self._spawn,
+            spawn=self._tasks.spawn,
         )
-        self._spawn(self._member.run())
+        self._tasks.spawn(self._member.run())
 
     async def _drain(self) -> None:
         events.emit(events.Event.DRAINING, name=self.name)
@@ -240,19 +240,6 @@
                 case actions.CancelEndpoint(attempt_id=attempt_id):
                     self._endpoint.cancel(attempt_id)
 
-    def _spawn(
-        self, coroutine: abc.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        events.emit(events.Event.UNEXPECTED, error=repr(task.exception()))
-
 
 def run(cfg: settings.AgentSettings) -> None:
     """Run an agent until it is told to stop."""
--- a/src/aspenfold/_internal/processes/entry.py
+++ b/src/aspenfold/_internal/processes/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import abc
-import concurrent.futures
 import datetime
 import json
 import random
@@ -17,28 +16,22 @@
 from aspenfold._internal.calls import actions
 from aspenfold._internal.calls import kernel as entry_kernel
 from aspenfold._internal.claims import ticket as ticket_module
-from aspenfold._internal.configuration import fold
-from aspenfold._internal.configuration import reader
-from aspenfold._internal.configuration import state as state_module
 from aspenfold._internal import exceptions
 from aspenfold._internal.kernel import clock as clock_module
-from aspenfold._internal.leases import duties as duties_module
 from aspenfold._internal.models import hosts
-from aspenfold._internal.models import records
 from aspenfold._internal.models import settings
 from aspenfold._internal.network import agent_client
 from aspenfold._internal.network import auth
 from aspenfold._internal.network import border
-from aspenfold._internal.network import host_list_client
 from aspenfold._internal.network import http_edge
 from aspenfold._internal.network import listen
-from aspenfold._internal.network import log_client
 from aspenfold._internal.network import reply as reply_module
 from aspenfold._internal.observability import events
 from aspenfold._internal.observability import metrics
-from aspenfold._internal.processes import log_tail
 from aspenfold._internal.processes import peer_service
+from aspenfold._internal.processes import platform_feed
 from aspenfold._internal.processes import status
+from aspenfold._internal.processes import tasks
 from aspenfold._internal.processes import watcher
 from aspenfold._internal import retries
 from aspenfold._internal import routing
@@ -48,10 +41,6 @@
 """Importing these packages registered their policies."""
 
 TICK = 0.02
-HOST_LIST_INTERVAL = 0.5
-DUTY_INTERVAL = 0.5
-PEER_INTERVAL = 1.0
-IO_THREADS = 8
 ADMIN_TIMEOUT = 5.0
 TICKET_LIFE = datetime.timedelta(minutes=10)
 TICKET_BYTES = 12
@@ -78,39 +67,15 @@
             claim_streams=cfg.claim_streams,
             rng=self._rng,
         )
-        self.listing = hosts.HostList(version=0, hosts=[])
+        self.clients = agent_client.AgentClients(system_key=cfg.system_key)
+        self.tasks = tasks.Tasks()
         self._border = border.Border()
         self._loop = asyncio.get_running_loop()
-        self._executor = concurrent.futures.ThreadPoolExecutor(IO_THREADS)
-        self._log = log_client.LogClient(base_url=cfg.platform.log.url)
-        self._tail = log_tail.LogTail(
-            client=self._log,
-            streams=cfg.claim_streams + 1,
-            rng=self._rng,
-            lost=self.kernel.log_lost,
-        )
-        self._claims = log_tail.ClaimWriter(
-            name=cfg.name,
-            client=self._log,
-            clock=clock,
-            new_id=self.kernel.new_id,
-            executor=self._executor,
-        )
-        self._host_list = host_list_client.HostListClient(
-            base_url=cfg.platform.host_list.url
-        )
-        self.clients = agent_client.AgentClients(system_key=cfg.system_key)
-        self._duties = duties_module.Duties(
-            name=cfg.name,
-            rng=self._rng,
-            snapshot_interval=cfg.snapshot_interval_ms
-            * clock_module.MILLISECOND,
-        )
+        self._feed = platform_feed.PlatformFeed(entry=self, rng=self._rng)
         self.watcher = watcher.Watcher(entry=self)
         self._replies: dict[str, reply_module.Reply] = {}
         self._started: dict[str, tuple[str, str, datetime.datetime]] = {}
         self._legs: dict[int, asyncio.Task[None]] = {}
-        self._tasks: set[asyncio.Task[typing.Any]] = set()
         self._stop = asyncio.Event()
         self._add_gauges()
 
@@ -126,7 +91,9 @@
         api = http_edge.Api(loop=self, cfg=self.cfg, clock=self.clock)
         server = http_edge.HttpServer(api=api, cfg=self.cfg)
         port = server.start()
-        self._start_tasks()
+        self._feed.start()
+        self.tasks.spawn(self._tick())
+        self.tasks.spawn(self.watcher.run())
         print(
             json.dumps(
                 {'ready': self.name, 'port': port, 'peer_port': peer_port}
@@ -138,11 +105,9 @@
         await self._drain()
         await self._loop.run_in_executor(None, server.stop)
         peers.close()
-        for task in list(self._tasks):
-            task.cancel()
-        self._tail.close()
+        self.tasks.cancel()
+        self._feed.close()
         self.clients.close()
-        self._executor.shutdown(wait=False, cancel_futures=True)
         events.emit(events.Event.STOPPED, name=self.name)
 
     # -- from the HTTP edge's threads ------------------------------------
@@ -248,6 +213,11 @@
             'expires': ticket.expires.isoformat(),
         }
 
+    @property
+    def listing(self) -> hosts.HostList:
+        """The host list as last read."""
+        return self._feed.listing
+
     def apply(self, result: list[actions.Action]) -> None:
         """Carry out the kernel's actions."""
         for action in result:
@@ -258,13 +228,13 @@
                 case actions.CloseLeg(leg=leg):
                     self._close_leg(leg)
                 case actions.CancelAttempt(host=host, attempt_id=attempt):
-                    self.spawn(
+                    self.tasks.spawn(
                         self.clients.cancel(
                             str(host.address), host.port, attempt
                         )
                     )
                 case actions.AppendClaim(stream=stream, claim=claim):
-                    self._claims.append(stream, claim)
+                    self._feed.append_claim(stream, claim)
                 case actions.DeliverHead(call_id=call_id, head=head):
                     self._put(call_id, head)
                 case actions.DeliverItems():
@@ -338,139 +308,7 @@
         if task is not None and task is not asyncio.current_task():
             task.cancel()
 
-    # -- platform --------------------------------------------------------
-
-    def _start_tasks(self) -> None:
-        state = self.kernel.fleet_reader
-        self.spawn(
-            self._tail.follow(
-                records.FLEET_STREAM,
-                lambda: state.position,
-                self._take_fleet,
-            )
-        )
-        for index in range(self.cfg.claim_streams):
-            self._follow_claims(records.claim_stream(index))
-        self.spawn(self._tick())
-        self.spawn(self._read_hosts())
-        self.spawn(self._do_duties())
-        self.spawn(self._ask_peers())
-        self.spawn(self.watcher.run())
-
-    def _follow_claims(self, stream: str) -> None:
-        def take(page: reader.Page) -> None:
-            now = self.clock.now()
-            self.apply(self.kernel.claims_page(stream, page, now))
-
-        self.spawn(
-            self._tail.follow(
-                stream, lambda: self.kernel.claims_position(stream), take
-            )
-        )
-
-    def _take_fleet(self, page: reader.Page) -> None:
-        for judged in self.kernel.fleet_page(page):
-            offset = judged.record.offset
-            kind = judged.record.body.get('type')
-            if kind == 'snapshot':
-                self._duties.snapshot_seen(offset, self.clock.now())
-            if judged.verdict is not fold.Verdict.ACCEPTED:
-                events.emit(
-                    events.Event.RECORD_REJECTED,
-                    offset=offset,
-                    kind=kind,
-                    verdict=judged.verdict.value,
-                )
-            elif kind == 'config':
-                events.emit(events.Event.CONFIG_IN_FORCE, version=offset)
-
-    async def _read_hosts(self) -> None:
-        lost = False
-        while True:
-            try:
-                listing = await self._loop.run_in_executor(
-                    self._executor, self._host_list.read
-                )
-            except exceptions.AspenfoldError as exc:
-                if not lost:
-                    events.emit(events.Event.HOST_LIST_LOST, detail=str(exc))
-                lost = True
-            else:
-                lost = False
-                self.listing = listing
-                self.kernel.listed(listing)
-            await asyncio.sleep(HOST_LIST_INTERVAL)
-
-    async def _do_duties(self) -> None:
-        while True:
-            await asyncio.sleep(DUTY_INTERVAL)
-            reading = self.kernel.fleet_reader
-            if not self.kernel.log_up or reading.recovering:
-                continue
-            for record in self._duties.tick(
-                reading.state, self._expert_loads(), self.clock.now()
-            ):
-                await self._append(record)
-
-    def _expert_loads(self) -> dict[str, list[float]]:
-        return {
-            known.host.group: known.expert_load
-            for known in self.kernel.view.watched()
-            if known.expert_load
-        }
-
-    async def _append(self, record: records.Record) -> None:
-        try:
-            offset = await self._loop.run_in_executor(
-                self._executor,
-                self._log.append,
-                records.FLEET_STREAM,
-                record,
-            )
-        except exceptions.LogUnavailable:
-            # Its fate shows when the stream is read.
-            return
-        events.emit(
-            events.Event.RECORD_WRITTEN,
-            offset=offset,
-            kind=getattr(record, 'type', ''),
-        )
-
-    async def _ask_peers(self) -> None:
-        while True:
-            await asyncio.sleep(PEER_INTERVAL)
-            if self.kernel.log_up and self.kernel.fleet is not None:
-                continue
-            peers = self._peer_addresses()
-            if peers:
-                await self._ask_peer(*self._rng.choice(peers))
-
-    def _peer_addresses(self) -> list[tuple[str, int]]:
-        listed = [
-            (str(host.address), host.peer_port)
-            for host in self.listing.hosts
-            if host.role is hosts.Role.ENTRY
-            and host.name != self.name
-            and host.peer_port
-        ]
-        configured = [(str(p.address), p.port) for p in self.cfg.peers]
-        return listed + configured
-
-    async def _ask_peer(self, address: str, port: int) -> None:
-        have = self.kernel.fleet_reader.state.next_offset
-        try:
-            reply = await self.clients.fleet(address, port, have)
-        except agent_client.LOST:
-            return
-        if not reply.state:
-            return
-        state = state_module.FleetState.from_json(orjson.loads(reply.state))
-        if self.kernel.adopt(state):
-            events.emit(
-                events.Event.PEER_ADOPTED,
-                offset=state.next_offset,
-                version=state.version,
-            )
+    # -- for peers -------------------------------------------------------
 
     def fleet_since(self, have_offset: int) -> pb.FleetReply:
         """Return this entry's fleet state if it is further on."""
@@ -483,20 +321,6 @@
 
     # -- life ------------------------------------------------------------
 
-    def spawn(
-        self, coroutine: abc.Coroutine[typing.Any, typing.Any, typing.Any]
-    ) -> None:
-        """Run a coroutine; what it raises is logged."""
-        task = self._loop.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-
-    def _task_done(self, task: asyncio.Task[typing.Any]) -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        events.emit(events.Event.UNEXPECTED, error=repr(task.exception()))
-
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK)
--- a/src/aspenfold/_internal/processes/status.py
+++ b/src/aspenfold/_internal/processes/status.py
@@ -19,7 +19,10 @@
     cfg: settings.EntrySettings
     kernel: entry_kernel.EntryKernel
     clock: clock_module.Clock
-    listing: hosts.HostList
+
+    @property
+    def listing(self) -> hosts.HostList:
+        """The host list as last read."""
 
 
 def report(entry: Entry) -> dict[str, typing.Any]:
--- a/src/aspenfold/_internal/processes/watcher.py
+++ b/src/aspenfold/_internal/processes/watcher.py
@@ -12,6 +12,7 @@
 from aspenfold._internal.network import agent_client
 from aspenfold._internal.network import codec
 from aspenfold._internal.observability import events
+from aspenfold._internal.processes import tasks as tasks_module
 from aspenfold._internal.rpc import aspenfold_pb2 as pb
 
 LOOK = 0.1
@@ -28,12 +29,7 @@
     kernel: entry_kernel.EntryKernel
     clock: clock_module.Clock
     clients: agent_client.AgentClients
-
-    def spawn(
-        self,
-        coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any],
-    ) -> None:
-        """Run a coroutine."""
+    tasks: tasks_module.Tasks
 
 
 class Watcher:
@@ -53,7 +49,7 @@
                 if known.name not in self._pending and self._due(known, now):
                     self._pending.add(known.name)
                     self._asked[known.name] = now
-                    self._entry.spawn(self._ask(known))
+                    self._entry.tasks.spawn(self._ask(known))
             await asyncio.sleep(LOOK)
 
     def _due(
--- a/src/aspenfold/cli/operator.py
+++ b/src/aspenfold/cli/operator.py
@@ -1,6 +1,7 @@
 """``aspenfold``: the operators' command line."""
 
 from collections import abc
+import datetime
 import os
 import sys
 
@@ -10,6 +11,7 @@
 from aspenfold._internal.commands import audit as audit_module
 from aspenfold._internal.commands import exits
 from aspenfold._internal.commands import inspect as inspect_module
+from aspenfold._internal.commands import member as member_module
 from aspenfold._internal.commands import output
 from aspenfold._internal.commands import platform as platform_module
 from aspenfold._internal.models import fleet
@@ -71,7 +73,7 @@
                 fleet_file,
                 base_version=base,
                 reason=str(reason),
-                wait=audit_module.parse_wait(wait),
+                wait=datetime.timedelta(seconds=wait),
                 as_json=json,
             )
         )
@@ -153,7 +155,7 @@
         self, endpoint: str, state: str, reason: str, json: bool
     ) -> None:
         _finish(
-            lambda: audit_module.MemberCommand(platform=self._platform()).run(
+            lambda: member_module.MemberCommand(platform=self._platform()).run(
                 endpoint,
                 'draining' if state == 'draining' else 'live',
                 reason=str(reason),
--- a/standins/aspenfold_standins/server.py
+++ b/standins/aspenfold_standins/server.py
@@ -76,6 +76,31 @@
     default._cp_config = {'response.stream': True}
 
 
+class Faults:
+    """Faults of a stand-in by name, switched by ``POST /faults``."""
+
+    def __init__(self, **initial: typing.Any) -> None:
+        self.values: dict[str, typing.Any] = dict(initial)
+
+    def get(self, name: str) -> typing.Any:
+        """Return a fault's value, 0 if it is off."""
+        return self.values.get(name, 0)
+
+    def take(self, name: str) -> bool:
+        """Use up one of a counted fault; return whether there was one."""
+        left = self.get(name)
+        if left > 0:
+            self.values[name] = left - 1
+        return bool(left > 0)
+
+    def serve(
+        self, path: typing.Any, query: typing.Any, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        """Handle ``POST /faults``."""
+        self.values.update(body)
+        return {}
+
+
 def serve(app: Application, *, name: str, port: int) -> None:
     """Serve until a signal; print a JSON line once ready."""
     logging.getLogger('cherrypy').setLevel(logging.CRITICAL)
--- a/tests/lib/chaos.py
+++ b/tests/lib/chaos.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from aspenfold._internal.configuration import fold
 from aspenfold._internal.models import records
 from aspenfold_standins import sim as sim_module
 from tests.lib import fleets
@@ -195,6 +196,33 @@
             )
             self.world.log.append(records.FLEET_STREAM, change)
 
+    def lapse_lease(self) -> None:
+        """A lease passes on; its paused holder wakes and writes a plan."""
+        reading = next(iter(self.world.entries.values())).kernel.fleet_reader
+        name = fold.MAP_LEASE + 'group-0'
+        prior = reading.state.lease_token(name)
+        for holder in ('entry-0', 'entry-1'):
+            self._jobs += 1
+            lease = records.LeaseGrant(
+                id=f'lease-{self._jobs}',
+                author=holder,
+                at=self.sim.now,
+                name=name,
+                holder=holder,
+                ttl_ms=100,
+                prior_token=prior,
+            )
+            prior = self.world.log.append(records.FLEET_STREAM, lease)
+        stale = records.MapPlan(
+            id=f'plan-{self._jobs}',
+            author='entry-0',
+            at=self.sim.now,
+            group='group-0',
+            lease_token=prior - 1,
+            placement=[[0]],
+        )
+        self.world.log.append(records.FLEET_STREAM, stale)
+
     def _heal(self) -> None:
         world = self.world
         world.network.heal()
@@ -222,4 +250,5 @@
     Chaos.drain,
     Chaos.leave,
     Chaos.race_operators,
+    Chaos.lapse_lease,
 )
