Refuse unknown policies and operations before anything runs

Cause, found by reading: a policy name that no plug-in has was accepted into force and then failed on every call, whose caller waited for ever; an operation that the agent's settings lack was told as 'ran'.

A test shows what each way of not reaching an endpoint is told as.

--- a/src/aspenfold/_internal/models/fleet.py
+++ b/src/aspenfold/_internal/models/fleet.py
@@ -12,6 +12,12 @@
 """Matches every value in a rule."""
 
 
+RoutingName = typing.Literal['two-choices', 'round-robin', 'random']
+AdmissionName = typing.Literal['lanes', 'open']
+RetryName = typing.Literal['budget', 'naive']
+PlannerName = typing.Literal['priced', 'greedy', 'full', 'none']
+
+
 class ServiceKind(enum.StrEnum):
     """What stands behind a service."""
 
@@ -65,11 +71,15 @@
 
 
 class Policies(base.Model):
-    """Names of the kernel's plug-ins that a service uses."""
+    """Names of the kernel's plug-ins that a service uses.
+
+    They stand here and are not asked of the registry, since all readers
+    must judge a fleet alike, whatever plug-ins each has.
+    """
 
-    routing: str = 'two-choices'
-    admission: str = 'lanes'
-    retry: str = 'budget'
+    routing: RoutingName = 'two-choices'
+    admission: AdmissionName = 'lanes'
+    retry: RetryName = 'budget'
 
 
 class Service(base.Model):
@@ -104,7 +114,7 @@
     experts: int = pydantic.Field(ge=1, le=4096)
     slots_per_rank: int = pydantic.Field(ge=1, le=4096)
     price: MapPrice = MapPrice()
-    planner: str = 'priced'
+    planner: PlannerName = 'priced'
 
     @pydantic.model_validator(mode='after')
     def _slots_hold_experts(self) -> 'Group':
--- a/src/aspenfold/_internal/network/endpoint_client.py
+++ b/src/aspenfold/_internal/network/endpoint_client.py
@@ -117,6 +117,14 @@
     # -- in a thread -----------------------------------------------------
 
     def _run(self, request: frames.AttemptRequest) -> None:
+        if request.operation not in self._target.operations:
+            # The fleet and this agent's settings differ; nothing was sent.
+            failure = exceptions.Failure(
+                code=exceptions.Code.UNKNOWN_OPERATION,
+                detail=f'the agent knows no operation {request.operation!r}',
+            )
+            self._post(self._sink.failed, request, failure)
+            return
         try:
             self._answer(request)
         except urllib3.exceptions.HTTPError as exc:
--- a/src/aspenfold/_internal/processes/entry.py
+++ b/src/aspenfold/_internal/processes/entry.py
@@ -115,7 +115,7 @@
     def submit(self, raw: border.RawRequest) -> reply_module.Reply:
         """Hand over a request; its answer comes on the reply."""
         reply = reply_module.Reply(loop=self._loop)
-        self._loop.call_soon_threadsafe(self._submit, raw, reply)
+        self._loop.call_soon_threadsafe(self._submit_safely, raw, reply)
         return reply
 
     def caller_left(self, request_id: str) -> None:
@@ -147,6 +147,21 @@
 
     # -- calls -----------------------------------------------------------
 
+    def _submit_safely(
+        self, raw: border.RawRequest, reply: reply_module.Reply
+    ) -> None:
+        try:
+            self._submit(raw, reply)
+        except Exception as exc:
+            # Its thread would wait for an answer for ever.
+            events.emit(events.Event.UNEXPECTED, error=repr(exc))
+            failure = exceptions.Failure(
+                code=exceptions.Code.INTERNAL,
+                detail='the entry failed on this request',
+                remedy='please report it with the request id',
+            )
+            reply.put(reply_module.Failed(failure=failure))
+
     def _submit(
         self, raw: border.RawRequest, reply: reply_module.Reply
     ) -> None:
--- /dev/null
+++ b/tests/unit/test_endpoint_client.py
@@ -0,0 +1,114 @@
+"""What the agent says of an endpoint that it could not call."""
+
+import asyncio
+import socket
+import typing
+
+from aspenfold_standins import sim as sim_module
+import pytest
+
+from aspenfold._internal import exceptions
+from aspenfold._internal.kernel import frames
+from aspenfold._internal.network import endpoint_client
+
+Code = exceptions.Code
+
+
+class Sink:
+    """Keeps the failure of one attempt."""
+
+    def __init__(self) -> None:
+        self.failure: asyncio.Future[exceptions.Failure] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def head(self, attempt_id: str, head: frames.Head) -> None:
+        """Not expected."""
+        raise AssertionError(head)
+
+    def items(self, attempt_id: str, items: tuple[bytes, ...]) -> None:
+        """Not expected."""
+        raise AssertionError(items)
+
+    def ended(self, attempt_id: str) -> None:
+        """Not expected."""
+        raise AssertionError(attempt_id)
+
+    def failed(self, attempt_id: str, failure: exceptions.Failure) -> None:
+        """Keep the failure."""
+        self.failure.set_result(failure)
+
+
+def request(operation: str) -> frames.AttemptRequest:
+    """Return an attempt at ``operation``."""
+    return frames.AttemptRequest(
+        attempt_id='a',
+        incarnation='i',
+        mode=frames.Mode.RUN,
+        call_id='c',
+        organisation='o',
+        operation=operation,
+        priority='interactive',
+        body=b'{}',
+        digest=b'',
+        repeatable=False,
+        streamed=False,
+        deadline=sim_module.START,
+    )
+
+
+async def failure_of(port: int, operation: str) -> exceptions.Failure:
+    """Call an endpoint on ``port`` and return why it failed."""
+    sink = Sink()
+    client = endpoint_client.EndpointClient(
+        target=endpoint_client.Target(
+            base_url=f'http://127.0.0.1:{port}',
+            path='',
+            kind='plain',
+            operations={'job': '/job'},
+        ),
+        threads=1,
+        loop=asyncio.get_running_loop(),
+        sink=sink,
+    )
+    client.start(request(operation))
+    try:
+        return await sink.failure
+    finally:
+        client.close()
+
+
+def serve_nothing(server: socket.socket) -> None:
+    """Take one request and close the connection without an answer."""
+    conn, _ = server.accept()
+    conn.recv(65536)
+    conn.close()
+
+
+@pytest.mark.parametrize(
+    ('operation', 'listening', 'code'),
+    [
+        ('other', False, Code.UNKNOWN_OPERATION),
+        ('job', False, Code.ENDPOINT_UNREACHABLE),
+        ('job', True, Code.FATE_UNKNOWN),
+    ],
+)
+def test_outcome_is_told_truthfully(
+    operation: str, listening: bool, code: Code
+) -> None:
+    """Only what cannot have reached the endpoint is "not run"."""
+
+    async def run() -> exceptions.Failure:
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            port = server.getsockname()[1]
+            if not listening:
+                server.close()
+                return await failure_of(port, operation)
+            loop = asyncio.get_running_loop()
+            serving = loop.run_in_executor(None, serve_nothing, server)
+            failure = await failure_of(port, operation)
+            await serving
+            return failure
+
+    failure: typing.Any = asyncio.run(run())
+    assert failure.code is code
--- a/tests/unit/test_files.py
+++ b/tests/unit/test_files.py
@@ -7,9 +7,18 @@
 import pytest
 from tests.lib import fleets
 
+from aspenfold._internal import admission
 from aspenfold._internal.commands import apply
 from aspenfold._internal import exceptions
+from aspenfold._internal.kernel import registry
+from aspenfold._internal.leases import duties
+from aspenfold._internal.models import fleet
 from aspenfold._internal.models import settings
+from aspenfold._internal import retries
+from aspenfold._internal import routing
+
+PLUGINS = (admission, duties, retries, routing)
+"""Importing these registered their plug-ins."""
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
@@ -29,6 +38,11 @@
         (('rules', 0, 'service'), 'tills', "no such service 'tills'"),
         (('services', 0, 'workers'), {'zone-x': 1}, 'no such availability'),
         (('rules', 0, 'priority'), 'top', "'interactive', 'generation'"),
+        (
+            ('services', 0, 'policies'),
+            {'routing': 'nearest'},
+            "'two-choices', 'round-robin' or 'random'",
+        ),
         (('services', 0, 'kind'), 'odd', "'model' or 'plain'"),
         (('organisations', 0, 'name'), 'Big Shop', 'organisations.0.name'),
         (('organisations', 0, 'weight'), 0, 'organisations.0.weight'),
@@ -88,6 +102,22 @@
     assert 'listen.port' in caught.value.failure.detail
 
 
+@pytest.mark.parametrize(
+    ('kind', 'allowed'),
+    [
+        ('routing', fleet.RoutingName),
+        ('admission', fleet.AdmissionName),
+        ('retry', fleet.RetryName),
+        ('map', fleet.PlannerName),
+    ],
+)
+def test_policy_names_are_those_of_the_plug_ins(
+    kind: str, allowed: typing.Any
+) -> None:
+    """A name that a fleet may use is registered, and no other is."""
+    assert sorted(typing.get_args(allowed)) == registry.names(kind)
+
+
 @pytest.mark.parametrize('name', ['partitions', 'calabash'])
 def test_example_fleets_are_valid(name: str) -> None:
     """The example fleets pass their own checks."""
