--- a/src/aspenfold/_internal/commands/member.py
+++ b/src/aspenfold/_internal/commands/member.py
@@ -5,6 +5,7 @@
 from aspenfold._internal.commands import exits
 from aspenfold._internal.commands import output
 from aspenfold._internal.commands import platform as platform_module
+from aspenfold._internal import exceptions
 from aspenfold._internal.models import records
 
 
@@ -23,6 +24,8 @@
         as_json: bool,
     ) -> exits.Exit:
         """Record the endpoint's new state."""
+        if state == 'draining':
+            self._check(endpoint)
         record = records.MembershipChange(
             **self._platform.header(),
             endpoint=endpoint,
@@ -43,3 +46,20 @@
             as_json=as_json,
         )
         return exits.Exit.OK
+
+    def _check(self, endpoint: str) -> None:
+        """Refuse a name that the host list does not have.
+
+        While the host list is down a drain is not held up by it.
+        """
+        known = self._platform.endpoint_names()
+        if not known or endpoint in known:
+            return
+        raise exceptions.ConfigError(
+            exceptions.Failure(
+                code=exceptions.Code.NOT_FOUND,
+                detail=f'the host list has no endpoint {endpoint!r}',
+                field='endpoint',
+                remedy=f'use one of {known}',
+            )
+        )
--- a/src/aspenfold/_internal/commands/platform.py
+++ b/src/aspenfold/_internal/commands/platform.py
@@ -139,6 +139,18 @@
             )
         )
 
+    def endpoint_names(self) -> list[str]:
+        """Return the endpoints of the host list; none if it is down."""
+        try:
+            listing = self._hosts.read()
+        except exceptions.AspenfoldError:
+            return []
+        return sorted(
+            host.name
+            for host in listing.hosts
+            if host.role is hosts.Role.ENDPOINT
+        )
+
     def entries(self) -> list[hosts.Host]:
         """Return the entry hosts of the host list."""
         listing = self._hosts.read()
--- a/tests/lib/operators.py
+++ b/tests/lib/operators.py
@@ -69,12 +69,21 @@
             raise exceptions.LogUnavailable('down')
 
 
-class NoHosts:
-    """A host list without entries."""
+class OneHost:
+    """A host list of one endpoint and no entries."""
 
     def read(self) -> hosts.HostList:
-        """Return an empty list."""
-        return hosts.HostList(version=1, hosts=[])
+        """Return the list."""
+        host = hosts.Host.model_validate(
+            {
+                'name': 'till-0',
+                'availability_zone': 'zone-a',
+                'role': 'endpoint',
+                'address': '127.0.0.1',
+                'port': 1,
+            }
+        )
+        return hosts.HostList(version=1, hosts=[host])
 
 
 def operator(log: FlakyLog) -> platform.Platform:
@@ -83,7 +92,7 @@
         cfg=settings.OperatorSettings.model_validate(SETTINGS),
         clock=clock.ManualClock(start=sim_module.START),
         log=log,
-        host_source=NoHosts(),
+        host_source=OneHost(),
         sleep=lambda seconds: None,
     )
 
--- a/tests/unit/test_apply.py
+++ b/tests/unit/test_apply.py
@@ -165,3 +165,15 @@
     """Return the verdicts that the audit shows."""
     command = audit.AuditCommand(platform=operators.operator(log))
     return [row['verdict'] for row in command.rows()]
+
+
+def test_drain_of_an_unknown_endpoint_writes_nothing(
+    log: operators.FlakyLog,
+) -> None:
+    """A mistyped name is told, with the names that there are."""
+    command = member.MemberCommand(platform=operators.operator(log))
+    with pytest.raises(exceptions.ConfigError) as caught:
+        command.run('till-9', 'draining', reason='', as_json=True)
+    assert caught.value.failure.code is exceptions.Code.NOT_FOUND
+    assert 'till-0' in caught.value.failure.remedy
+    assert log.log.appends == 0
