--- a/src/aspenfold/_internal/claims/fold.py
+++ b/src/aspenfold/_internal/claims/fold.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 
+import pydantic
 import xxhash
 
 from aspenfold._internal.configuration import reader
@@ -92,7 +93,9 @@
             if record.offset < self.position:
                 continue
             self.position = record.offset + 1
-            batch = records.ClaimBatch.model_validate(record.body)
+            batch = _batch(record)
+            if batch is None:
+                continue
             self._advance(batch.at)
             for claim in batch.claims:
                 self._fold(claim, record.offset, batch.at)
@@ -110,8 +113,11 @@
         if fresh and page.records:
             # A fresh reader of a log whose retention exceeds the window
             # misses only keys that are forgotten anyway.
-            oldest = records.ClaimBatch.model_validate(page.records[0].body)
-            if oldest.at <= now - self._window - CLOCK_SKEW:
+            oldest = _batch(page.records[0])
+            if (
+                oldest is not None
+                and oldest.at <= now - self._window - CLOCK_SKEW
+            ):
                 return
         self._judgeable_from = now + self._window + CLOCK_SKEW
 
@@ -135,3 +141,14 @@
             if oldest.at > self._latest - self._window:
                 return
             del self._holders[key]
+
+
+def _batch(record: reader.LogRecord) -> records.ClaimBatch | None:
+    """Return the claims of a record; None for one that is malformed.
+
+    All readers pass over the same records, so none stops at one.
+    """
+    try:
+        return records.ClaimBatch.model_validate(record.body)
+    except pydantic.ValidationError:
+        return None
--- a/src/aspenfold/_internal/configuration/patch.py
+++ b/src/aspenfold/_internal/configuration/patch.py
@@ -31,7 +31,11 @@
     except (
         jsonpatch.JsonPatchException,
         jsonpointer.JsonPointerException,
+        AttributeError,
+        KeyError,
         TypeError,
+        ValueError,
     ):
+        # The library raises these too for steps of a strange shape.
         return None
     return result if isinstance(result, dict) else None
--- a/src/aspenfold/_internal/configuration/reader.py
+++ b/src/aspenfold/_internal/configuration/reader.py
@@ -4,6 +4,8 @@
 import dataclasses
 import typing
 
+import pydantic
+
 from aspenfold._internal.configuration import fold
 from aspenfold._internal.configuration import state as state_module
 from aspenfold._internal.models import records
@@ -115,10 +117,12 @@
     def _restore(self, record: LogRecord) -> bool:
         if record.body.get('type') != 'snapshot':
             return False
-        snapshot = records.Snapshot.model_validate(record.body)
+        try:
+            snapshot = records.Snapshot.model_validate(record.body)
+        except pydantic.ValidationError:
+            return False
         if snapshot.covers < self._gap_start():
             return False
-        restored = state_module.FleetState.from_json(snapshot.state)
-        if restored.next_offset > self.state.next_offset:
-            self.state = restored
+        if snapshot.covers > self.state.next_offset:
+            self.state = state_module.FleetState.from_document(snapshot.state)
         return True
--- a/src/aspenfold/_internal/configuration/state.py
+++ b/src/aspenfold/_internal/configuration/state.py
@@ -6,6 +6,7 @@
 
 from aspenfold._internal.configuration import patch
 from aspenfold._internal.models import fleet as fleet_model
+from aspenfold._internal.models import records
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -88,15 +89,29 @@
         }
 
     @classmethod
-    def from_json(cls, data: dict[str, typing.Any]) -> 'FleetState':
-        """Rebuild a state from :meth:`to_json`."""
+    def from_json(cls, data: object) -> 'FleetState':
+        """Rebuild a state from :meth:`to_json`.
+
+        Raises pydantic's ValidationError if ``data`` is none.
+        """
+        return cls.from_document(records.StateDocument.model_validate(data))
+
+    @classmethod
+    def from_document(cls, data: records.StateDocument) -> 'FleetState':
+        """Rebuild a state from its validated document."""
         return cls(
-            next_offset=data['next_offset'],
-            version=data['version'],
-            document=copy.deepcopy(data['document']),
-            leases={k: Lease(**v) for k, v in data['leases'].items()},
-            members={k: Member(**v) for k, v in data['members'].items()},
-            maps={k: MapVersion(**v) for k, v in data['maps'].items()},
+            next_offset=data.next_offset,
+            version=data.version,
+            document=copy.deepcopy(data.document),
+            leases={
+                k: Lease(**v.model_dump()) for k, v in data.leases.items()
+            },
+            members={
+                k: Member(**v.model_dump()) for k, v in data.members.items()
+            },
+            maps={
+                k: MapVersion(**v.model_dump()) for k, v in data.maps.items()
+            },
         )
 
 
--- a/src/aspenfold/_internal/leases/duties.py
+++ b/src/aspenfold/_internal/leases/duties.py
@@ -156,7 +156,7 @@
             at=now,
             covers=state.next_offset,
             lease_token=token,
-            state=state.to_json(),
+            state=records.StateDocument.model_validate(state.to_json()),
         )
 
     def _ask(
--- a/src/aspenfold/_internal/models/records.py
+++ b/src/aspenfold/_internal/models/records.py
@@ -4,12 +4,12 @@
 answer was lost finds out by reading whether it took effect.
 """
 
-import datetime
 import typing
 
 import pydantic
 
 from aspenfold._internal.models import base
+from aspenfold._internal.models import fleet
 
 FLEET_STREAM = 'fleet'
 """Configuration, leases, map plans, membership and snapshots."""
@@ -25,7 +25,7 @@
 
     id: str
     author: str
-    at: datetime.datetime
+    at: pydantic.AwareDatetime
 
 
 class ConfigChange(Record):
@@ -70,13 +70,59 @@
     reason: str = ''
 
 
+class LeaseState(base.Model):
+    """A lease in a snapshot."""
+
+    holder: str
+    token: int
+    ttl_ms: int
+
+
+class MemberState(base.Model):
+    """An endpoint's state in a snapshot."""
+
+    state: str
+    token: int
+
+
+class MapState(base.Model):
+    """A group's newest map in a snapshot."""
+
+    version: int
+    record_id: str
+    placement: list[list[int]]
+
+
+class StateDocument(base.Model):
+    """The whole folded state, in a snapshot or from a peer."""
+
+    next_offset: int = pydantic.Field(ge=1)
+    version: int = pydantic.Field(ge=0)
+    document: dict[str, typing.Any]
+    leases: dict[str, LeaseState]
+    members: dict[str, MemberState]
+    maps: dict[str, MapState]
+
+    @pydantic.model_validator(mode='after')
+    def _holds_a_fleet(self) -> 'StateDocument':
+        if self.version:
+            fleet.Fleet.model_validate(self.document)
+        return self
+
+
 class Snapshot(Record):
     """The folded state up to, not including, offset ``covers``."""
 
     type: typing.Literal['snapshot'] = 'snapshot'
     covers: int
     lease_token: int
-    state: dict[str, typing.Any]
+    state: StateDocument
+
+    @pydantic.model_validator(mode='after')
+    def _covers_its_state(self) -> 'Snapshot':
+        if self.covers != self.state.next_offset:
+            raise ValueError('covers is not the next offset of the state')
+        return self
 
 
 FleetRecord = typing.Annotated[
--- a/src/aspenfold/_internal/processes/platform_feed.py
+++ b/src/aspenfold/_internal/processes/platform_feed.py
@@ -11,6 +11,7 @@
 import typing
 
 import orjson
+import pydantic
 
 from aspenfold._internal.calls import actions
 from aspenfold._internal.calls import kernel as entry_kernel
@@ -209,7 +210,12 @@
             return
         if not reply.state:
             return
-        state = state_module.FleetState.from_json(orjson.loads(reply.state))
+        try:
+            data = orjson.loads(reply.state)
+            state = state_module.FleetState.from_json(data)
+        except (orjson.JSONDecodeError, pydantic.ValidationError):
+            # A peer of another version; another one may be of use.
+            return
         if self._kernel.adopt(state):
             events.emit(
                 events.Event.PEER_ADOPTED,
--- a/tests/unit/test_fleet_machine.py
+++ b/tests/unit/test_fleet_machine.py
@@ -105,7 +105,9 @@
                 at=sim_module.START,
                 covers=known.state.next_offset,
                 lease_token=0,
-                state=known.state.to_json(),
+                state=records.StateDocument.model_validate(
+                    known.state.to_json()
+                ),
             )
         )
 
--- /dev/null
+++ b/tests/unit/test_poison.py
@@ -0,0 +1,120 @@
+"""No record on the log, however malformed, stops a reader."""
+
+import typing
+
+from aspenfold_standins import sim as sim_module
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+from tests.lib import fleets
+
+from aspenfold._internal.claims import fold as claim_fold
+from aspenfold._internal.configuration import fold
+from aspenfold._internal.configuration import reader
+from aspenfold._internal.configuration import state as state_module
+from aspenfold._internal.models import fleet
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+STEP = st.fixed_dictionaries(
+    {},
+    optional={
+        'op': st.sampled_from(
+            ['add', 'remove', 'replace', 'move', 'copy', 'test', 'x']
+        ),
+        'path': JSON | st.sampled_from(['', '/', '/name', '/rules/0', '/-']),
+        'from': JSON | st.sampled_from(['/rules', '/name']),
+        'value': JSON,
+    },
+)
+HEADER = {'id': 'x', 'author': 'x', 'at': '2026-01-01T00:00:00Z'}
+BODY = st.one_of(
+    st.dictionaries(st.text(max_size=5), JSON, max_size=4),
+    st.builds(
+        lambda steps, digest: {
+            **HEADER,
+            'type': 'config',
+            'base_version': 1,
+            'digest': digest,
+            'patch': steps,
+        },
+        st.lists(STEP, max_size=3),
+        st.text(max_size=4),
+    ),
+    st.builds(
+        lambda state, covers: {
+            **HEADER,
+            'type': 'snapshot',
+            'covers': covers,
+            'lease_token': 0,
+            'state': state,
+        },
+        st.dictionaries(st.text(max_size=5), JSON, max_size=3),
+        st.integers(0, 20),
+    ),
+    st.builds(
+        lambda at, claims: {
+            **HEADER,
+            'type': 'claims',
+            'at': at,
+            'claims': claims,
+        },
+        st.sampled_from(['2026-01-01T00:00:00', HEADER['at'], 'never']),
+        st.just([]) | JSON,
+    ),
+    st.builds(
+        lambda placement: {
+            **HEADER,
+            'type': 'map',
+            'group': 'g',
+            'lease_token': 1,
+            'placement': placement,
+        },
+        JSON,
+    ),
+)
+
+
+def page(body: typing.Any, offset: int) -> reader.Page:
+    """Return a page of one record, all before it trimmed."""
+    record = reader.LogRecord(offset=offset, body=body)
+    return reader.Page(records=[record], first=offset, next=offset + 1)
+
+
+@pytest.mark.explores
+@hypothesis.given(body=BODY)
+def test_fleet_stream(body: typing.Any) -> None:
+    """The fold judges it and goes on."""
+    document = fleets.document()
+    state = state_module.FleetState()
+    state.set_document(1, document, fleet.Fleet.model_validate(document))
+    fold.fold(state, 2, body)
+    assert state.next_offset == 3
+    assert state.fleet is not None
+
+
+@pytest.mark.explores
+@hypothesis.given(body=BODY)
+def test_fleet_stream_after_a_gap(body: typing.Any) -> None:
+    """A reader that looks for a snapshot passes over a bad one."""
+    known = reader.FleetReader()
+    known.feed(page(body, 5))
+    assert known.position == 6
+
+
+@pytest.mark.explores
+@hypothesis.given(body=BODY)
+def test_claim_stream(body: typing.Any) -> None:
+    """The fold passes over it."""
+    known = claim_fold.ClaimFold(window=claim_fold.SETTLED_AFTER)
+    record = reader.LogRecord(offset=1, body=body)
+    once = reader.Page(records=[record], first=1, next=2)
+    known.feed(once, sim_module.START)
+    known.feed(page(body, 5), sim_module.START)
+    assert known.position == 6
