Remove what nothing uses

Fields and methods that no decision read: an endpoint's latency and time of admission, a leader's newest plan, closing a channel to a gone host.

--- a/src/aspenfold/_internal/calls/kernel.py
+++ b/src/aspenfold/_internal/calls/kernel.py
@@ -36,8 +36,6 @@
 
 ID_BITS = 96
 
-P = typing.TypeVar('P')
-
 
 class EntryKernel:
     """All state of one entry host; events in, actions out, no I/O."""
--- a/src/aspenfold/_internal/expertmaps/leader.py
+++ b/src/aspenfold/_internal/expertmaps/leader.py
@@ -51,11 +51,6 @@
         self._resend_at: datetime.datetime | None = None
         self._heartbeat_at: datetime.datetime | None = None
 
-    @property
-    def newest_plan(self) -> int:
-        """The newest plan's version, 0 for none."""
-        return self._newest
-
     def plan(
         self, version: int, placement: Placement
     ) -> list[messages.Action]:
--- a/src/aspenfold/_internal/membership/endpoint.py
+++ b/src/aspenfold/_internal/membership/endpoint.py
@@ -13,7 +13,6 @@
 
     ``reported`` and ``load`` come from the agent itself, on reports and
     on every frame.  ``in_flight`` is what this entry has there now.
-    ``latency`` is a moving average of seconds to the first frame.
     """
 
     host: hosts.Host
@@ -23,9 +22,7 @@
     in_flight: int = 0
     in_flight_at_report: int = 0
     failures: int = 0
-    latency: float = 0.0
     ejected_until: datetime.datetime | None = None
-    admitted: datetime.datetime | None = None
     map_version: int = 0
     map_in_use: int = 0
     expert_load: list[float] = dataclasses.field(default_factory=list)
--- a/src/aspenfold/_internal/membership/view.py
+++ b/src/aspenfold/_internal/membership/view.py
@@ -104,7 +104,6 @@
             return
         if known.incarnation != incarnation:
             known.incarnation = incarnation
-            known.admitted = now
             known.failures = 0
         known.take_load(load, now)
 
--- a/src/aspenfold/_internal/network/agent_client.py
+++ b/src/aspenfold/_internal/network/agent_client.py
@@ -109,12 +109,6 @@
             channel.close()
         self._channels.clear()
 
-    def forget(self, address: str, port: int) -> None:
-        """Close the channel to a host that is gone."""
-        channel = self._channels.pop((address, port), None)
-        if channel is not None:
-            channel.close()
-
     async def _connect(self, address: str, port: int) -> None:
         # grpclib connects inside the call; connecting first tells a
         # request that never left from one whose fate is unknown.
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -61,7 +61,6 @@
     firsts: list[int] = dataclasses.field(default_factory=list)
     whole: bool = False
     failure: exceptions.Failure | None = None
-    answered_at: datetime.datetime | None = None
     answers: int = 0
 
     @property
@@ -324,7 +323,6 @@
     def _answered(self, call_id: str) -> None:
         submission = self.submissions[call_id]
         submission.answers += 1
-        submission.answered_at = self.sim.now
 
     def _open(self, action: actions.OpenLeg) -> None:
         world = self.world
@@ -457,7 +455,6 @@
         self.entries: dict[str, EntryNode] = {}
         self.leaving: set[str] = set()
         self.left_at: dict[str, datetime.datetime] = {}
-        self.host_list_lag_ms = 0
         self._services: dict[str, str] = {}
         self._numbers = 0
         self._put_fleet()
