--- a/bench/entry_edge.py
+++ b/bench/entry_edge.py
@@ -6,6 +6,12 @@
 import tempfile
 import time
 
+from aspenfold._internal.configuration import fold
+from aspenfold._internal.configuration import patch
+from aspenfold._internal.configuration import state as state_module
+from aspenfold._internal.kernel import clock
+from aspenfold._internal.models import records
+from aspenfold._internal.network import log_client
 from aspenfold_standins import launcher
 from bench import report
 import urllib3
@@ -156,6 +162,7 @@
             ]
             for group in deployment.fleet.groups:
                 deployment.fault(f'engine-{group.name}', cadence_ms=CADENCE_MS)
+            rows += _in_force(deployment)
             rows += _calls(entry.url, entry.pid)
             rows += _streams(entry.url, entry.pid)
             rows += [
@@ -173,6 +180,42 @@
             deployment.stop()
 
 
+def _in_force(deployment: launcher.Deployment) -> list[report.Row]:
+    """Return how long a change takes from the log to every entry."""
+    log = log_client.LogClient(base_url=deployment.children['log'].url)
+    state = state_module.FleetState()
+    for page in log.read_all(records.FLEET_STREAM):
+        for record in page.records:
+            fold.fold(state, record.offset, record.body)
+    changed = {**state.document, 'name': 'changed'}
+    change = records.ConfigChange(
+        id='bench',
+        author='bench',
+        at=clock.SystemClock().now(),
+        base_version=state.version,
+        digest=patch.digest(changed),
+        patch=patch.diff(state.document, changed),
+    )
+    began = time.monotonic()
+    version = log.append(records.FLEET_STREAM, change)
+    waiting = set(deployment.entries())
+    while waiting:
+        for name in sorted(waiting):
+            status = deployment.entry_status(name)
+            if status is not None and status['version'] >= version:
+                waiting.discard(name)
+    taken = (time.monotonic() - began) * 1000
+    return [
+        report.Row(
+            figure='ms from append to in force everywhere',
+            variant=f'{len(deployment.entries())} entries',
+            value=taken,
+            aim='<= 9000',
+            met=taken <= 9000,
+        )
+    ]
+
+
 def _unlimited(directory: pathlib.Path) -> pathlib.Path:
     """Write the example fleet with limits out of the way."""
     text = (ROOT / 'examples' / 'partitions.json').read_text(encoding='utf-8')
