Let nothing that is remembered grow with the work done

Cause, found by reading the whole change: a group's leader kept every run that a rank ever confirmed and each rank every run ever ordered, for good (21 after 20 s of the test, one each 200 steps and rank for ever); an agent kept the id of every attempt that finished. test_bounded_state.py failed on both before the change.

Also: interactive calls under way were counted twice in the agent, in the kernel and in the room kept for them; the room counts them now.

Ruled out: trimming what a rank has ordered by its own step instead of the step of the look at the engine, which would take a grant seen by that look for a foreign one.

--- a/src/aspenfold/_internal/attempts/kernel.py
+++ b/src/aspenfold/_internal/attempts/kernel.py
@@ -60,7 +60,6 @@
         self._joiners: list[_Joiner] = []
         self._legs: dict[int, str] = {}
         self._running = 0
-        self._urgent_running = 0
         self._room = room_module.UrgentRoom(capacity=capacity)
         self._now: datetime.datetime | None = None
 
@@ -240,7 +239,6 @@
         known = self._remember(request, State.RUNNING)
         self._running += 1
         if known.urgent:
-            self._urgent_running += 1
             self._room.started(now)
         result: list[actions.Action] = [actions.CallEndpoint(request=request)]
         result.extend(self._attach(leg, request, known))
@@ -259,7 +257,7 @@
         if request.priority == URGENT:
             return None
         bound = self._room.others_bound(now)
-        others = self._running - self._urgent_running
+        others = self._running - self._room.running
         if bound is not None and others >= bound:
             return Code.OVERLOADED
         return None
@@ -405,7 +403,6 @@
     def _finish(self, known: attempt_module.Attempt) -> None:
         self._running -= 1
         if known.urgent:
-            self._urgent_running -= 1
             self._room.ended()
         if known.state is not State.DONE:
             known.items.clear()
@@ -420,6 +417,11 @@
                     oldest.drop_answer()
 
     def _forget(self, now: datetime.datetime) -> None:
+        self._forget_attempts(now)
+        while self._finished and self._finished[0] not in self._attempts:
+            self._finished.popleft()
+
+    def _forget_attempts(self, now: datetime.datetime) -> None:
         # Deadlines are not quite in order; one that blocks the front
         # only delays forgetting.
         while self._by_deadline:
--- a/src/aspenfold/_internal/attempts/room.py
+++ b/src/aspenfold/_internal/attempts/room.py
@@ -24,20 +24,20 @@
     """
 
     def __init__(self, *, capacity: int) -> None:
+        self.running = 0
         self._capacity = capacity
-        self._running = 0
         self._mean = 0.0
         self._last: datetime.datetime | None = None
 
     def started(self, now: datetime.datetime) -> None:
         """An interactive call was accepted."""
-        self._mean += (self._running - self._mean) * WEIGHT
-        self._running += 1
+        self._mean += (self.running - self._mean) * WEIGHT
+        self.running += 1
         self._last = now
 
     def ended(self) -> None:
         """An interactive call ended."""
-        self._running -= 1
+        self.running -= 1
 
     def others_bound(self, now: datetime.datetime) -> int | None:
         """Return how many other calls may run, None for no bound."""
--- a/src/aspenfold/_internal/expertmaps/leader.py
+++ b/src/aspenfold/_internal/expertmaps/leader.py
@@ -98,6 +98,7 @@
         member.prepared.update(message.prepared)
         member.runs.update(message.runs)
         member.step = max(member.step, message.step)
+        member.runs = {run for run in member.runs if run.last > member.step}
         return self._extend() if self._complete else []
 
     def _heartbeat_due(self, now: datetime.datetime) -> bool:
--- a/src/aspenfold/_internal/expertmaps/rank.py
+++ b/src/aspenfold/_internal/expertmaps/rank.py
@@ -117,6 +117,7 @@
         self.map_in_use = _version_at(held, step + 1)
         if self._reset_done and self._disturbed(step, held):
             return self._ask_higher()
+        self._ordered = {run for run in self._ordered if run.last > step}
         if step <= self.step:
             return []
         self.step = step
@@ -191,6 +192,8 @@
             # it; a leader that did so would be at fault.
             if run.version not in self._prepared or run in self._ordered:
                 continue
+            if run.last <= self.step:
+                continue
             self._ordered.add(run)
             result.append(messages.OrderGrant(run=run, fencing=message.ballot))
         result.append(self._tell(Kind.GRANTED))
--- a/src/aspenfold/cli/operator.py
+++ b/src/aspenfold/cli/operator.py
@@ -4,6 +4,7 @@
 import datetime
 import os
 import sys
+import typing
 
 import fire
 
@@ -152,12 +153,16 @@
         )
 
     def _member(
-        self, endpoint: str, state: str, reason: str, json: bool
+        self,
+        endpoint: str,
+        state: typing.Literal['live', 'draining'],
+        reason: str,
+        json: bool,
     ) -> None:
         _finish(
             lambda: member_module.MemberCommand(platform=self._platform()).run(
                 endpoint,
-                'draining' if state == 'draining' else 'live',
+                state,
                 reason=str(reason),
                 as_json=json,
             )
--- /dev/null
+++ b/tests/unit/test_bounded_state.py
@@ -0,0 +1,55 @@
+"""What a long-lived process remembers does not grow with its work."""
+
+import datetime
+
+from aspenfold_standins import sim as sim_module
+from tests.lib import group_world
+
+from aspenfold._internal.attempts import actions
+from aspenfold._internal.attempts import kernel as agent_kernel
+from aspenfold._internal.kernel import frames
+
+FEW = 8
+
+
+def test_a_groups_machines_forget_finished_runs() -> None:
+    """Leader and ranks keep only runs that are not finished."""
+    world = group_world.GroupWorld(seed=1)
+    world.put_plan(5)
+    world.sim.run(20_000)
+    assert world.steps_done > 3000
+    leader = world.agents[0].leader
+    assert leader is not None
+    for member in leader._members.values():
+        assert len(member.runs) < FEW
+    for agent in world.agents:
+        assert len(agent.machine._ordered) < FEW
+
+
+def test_an_agent_forgets_attempts_past_their_time() -> None:
+    """Attempts, and the order in which they finished."""
+    kernel = agent_kernel.AgentKernel(
+        incarnation='me', capacity=2, answer_memory=1 << 20
+    )
+    now = sim_module.START
+    for number in range(50):
+        request = frames.AttemptRequest(
+            attempt_id=str(number),
+            incarnation='me',
+            mode=frames.Mode.RUN,
+            call_id='c',
+            organisation='o',
+            operation='job',
+            priority='interactive',
+            body=b'{}',
+            digest=b'',
+            repeatable=False,
+            streamed=False,
+            deadline=now + datetime.timedelta(seconds=1),
+        )
+        result = kernel.execute(number, request, now)
+        assert isinstance(result[0], actions.CallEndpoint)
+        kernel.endpoint_ended(request.attempt_id, now)
+    kernel.tick(now + agent_kernel.KEEP + datetime.timedelta(seconds=2))
+    assert len(kernel._attempts) == 0
+    assert len(kernel._finished) == 0
