--- a/standins/aspenfold_standins/launcher.py
+++ b/standins/aspenfold_standins/launcher.py
@@ -113,6 +113,7 @@
         self.children: dict[str, Child] = {}
         self.hosts: dict[str, dict[str, typing.Any]] = {}
         self.entry_peers: list[int] = []
+        self._agent_argv: dict[str, list[str]] = {}
         self.engine_options: tuple[str, ...] = ()
         self._errors = open(  # noqa: SIM115
             directory / 'stderr.txt', 'a', encoding='utf-8'
@@ -198,7 +199,9 @@
             'log_file': str(self.directory / f'{name}.log'),
         }
         path = self._write(name, settings)
-        child = self._spawn(name, [_program('aspenfold-agent'), path])
+        argv = [_program('aspenfold-agent'), path]
+        self._agent_argv[name] = argv
+        child = self._spawn(name, argv)
         self.hosts[name] = {
             'name': name,
             'availability_zone': zone,
@@ -210,6 +213,12 @@
         }
         return child
 
+    def restart_agent(self, name: str) -> None:
+        """Kill an agent, start it anew with its settings, and list it."""
+        self.children[name].kill()
+        self._spawn(name, self._agent_argv[name]).wait_ready()
+        self.list_host(name)
+
     def list_host(self, name: str, **changes: object) -> None:
         """Put a host, once ready, on the host list, with changes."""
         child = self.children[name]
--- a/tests/functional/test_processes.py
+++ b/tests/functional/test_processes.py
@@ -58,12 +58,7 @@
     (ran,) = busy(deployment, PLAINS)
     zone = ran.removeprefix('plain-till-')
     agent = f'till-{zone}-0'
-    deployment.children[agent].kill()
-    service = deployment.fleet.service('till')
-    assert service is not None
-    deployment.start_agent(agent, zone, service, deployment.children[ran])
-    deployment.children[agent].wait_ready()
-    deployment.list_host(agent)
+    deployment.restart_agent(agent)
     assert first.result().outcome == 'unknown'
     assert client.job(1, 'sale-2').outcome == 'unknown'
     assert len(client.runs('/job')) == 1
@@ -167,19 +162,7 @@
     stream = client.later(client.stream, 0, 'Credo', 300)
     deployment.wait_for('the stream', lambda: bool(streaming(deployment)))
     (name,) = streaming(deployment)
-    deployment.children[name].kill()
-    service = deployment.fleet.service('llm')
-    assert service is not None
-    deployment.start_agent(
-        name,
-        'zone-a',
-        service,
-        deployment.children['engine-group-0'],
-        group='group-0',
-        rank=int(name[-1]),
-    )
-    deployment.children[name].wait_ready()
-    deployment.list_host(name)
+    deployment.restart_agent(name)
     assert stream.result().text() == engine.answer('Credo', 300)
     one_map(deployment)
 
@@ -218,18 +201,7 @@
     before = one_map(deployment)
     deployment.children['group-0-1'].kill()
     deployment.fault('engine-group-0', replace=[1])
-    service = deployment.fleet.service('llm')
-    assert service is not None
-    deployment.start_agent(
-        'group-0-1',
-        'zone-a',
-        service,
-        deployment.children['engine-group-0'],
-        group='group-0',
-        rank=1,
-    )
-    deployment.children['group-0-1'].wait_ready()
-    deployment.list_host('group-0-1')
+    deployment.restart_agent('group-0-1')
     deployment.wait_for(
         'more steps', lambda: one_map(deployment) > before + 300
     )
