--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -23,21 +23,21 @@
 TICK_S = 0.05
 """Pace of the switch's timers, under its shortest, 100 ms."""
 
-SAMPLE_INTERVAL = datetime.timedelta(milliseconds=500)
+SAMPLE_INTERVAL = datetime.timedelta(milliseconds=600)
 """Pace of reading counts."""
 
-SAMPLED_RANKS = 4
+SAMPLED_RANKS = 2
 """Ranks whose counts are read; requests are dealt at random, so these
 stand for all."""
 
 FIND_INTERVAL = datetime.timedelta(milliseconds=500)
 """Wait between two searches for the ranks of a broken group."""
 
-MIN_SKEW_GAIN = 0.12
+MIN_SKEW_GAIN = 0.25
 """A new map must promise to lower the mean skew of the sets by this;
 less is within what a second's counts are off."""
 
-PRICE = fleet.MapPrice(skew=1.0, moved_weights=0.5, skew_bound=1.05)
+PRICE = fleet.MapPrice(skew=1.0, moved_weights=2.0, skew_bound=1.05)
 """What planning weighs: see MIN_GAIN of the planner."""
 
 TOKENS_A_TERM = 1_000_000
