--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -33,11 +33,11 @@
 FIND_INTERVAL = datetime.timedelta(milliseconds=500)
 """Wait between two searches for the ranks of a broken group."""
 
-MIN_SKEW_GAIN = 0.25
+MIN_SKEW_GAIN = 0.45
 """A new map must promise to lower the mean skew of the sets by this;
 less is within what a second's counts are off."""
 
-PRICE = fleet.MapPrice(skew=1.0, moved_weights=2.0, skew_bound=1.05)
+PRICE = fleet.MapPrice(skew=1.0, moved_weights=5.0, skew_bound=1.1)
 """What planning weighs: see MIN_GAIN of the planner."""
 
 TOKENS_A_TERM = 1_000_000
