Take the lease back at once on the host that held it

Cause: after all processes were killed, no map changed for 8 s: the dead leader's lease had to lapse first. Kept: takeover at the restarted host needs no wait now.

--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -44,6 +44,7 @@
     DEADLINE_PASSED = 1202
     SEALED = 1203
     ENDPOINT_UNREACHABLE = 1204
+    GROUP_DOWN = 1205
     LOG_UNAVAILABLE = 1300
     KEY_NOT_JUDGEABLE = 1301
     NO_FLEET = 1302
@@ -88,6 +89,7 @@
     Code.DEADLINE_PASSED: 'the deadline passed before the call started',
     Code.SEALED: 'the attempt did not run and never will',
     Code.ENDPOINT_UNREACHABLE: 'the endpoint or its agent is away',
+    Code.GROUP_DOWN: 'the ranks of the model group do not run now',
     Code.LOG_UNAVAILABLE: 'the log that decides keys is down',
     Code.KEY_NOT_JUDGEABLE: 'claims of this key may have been trimmed',
     Code.NO_FLEET: 'no fleet is in force here yet',
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -85,6 +85,13 @@
             return route.targets[0].service
         return self.rng.choices(route.targets, weights)[0].service
 
+    def has_group(self, service: str) -> bool:
+        """Return whether the service's endpoints are ranks of groups."""
+        if self.table is None:
+            return False
+        known = self.table.plan.services.get(service)
+        return known is not None and known.group is not None
+
     def choose(
         self, service: str, avoid: set[str]
     ) -> directory_module.Endpoint | None:
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -225,13 +225,22 @@
         if head.status_code == 421:
             return outcome.End.REPLACED
         if forwarding.header(headers, self._names.not_run):
-            return outcome.End.DECLINED
+            return self._declined(endpoint)
         echoed = forwarding.header(headers, self._names.attempt_id)
         if echoed.decode('latin-1') != self._id:
             # An answer to some earlier request, come late.
             return outcome.End.LOST
         return outcome.End.ANSWERED
 
+    def _declined(self, endpoint: directory.Endpoint) -> outcome.End:
+        """Tell an endpoint that is full from one whose group is down."""
+        load = endpoint.load
+        if load is None or not self._core.has_group(self._service):
+            return outcome.End.DECLINED
+        if load.running + load.waiting < load.capacity:
+            return outcome.End.DOWN
+        return outcome.End.DECLINED
+
     def _is_event_stream(self, history: outcome.History, status: int) -> bool:
         streaming = history.route.kind is plan_module.Kind.STREAMING
         return streaming and status == 200
@@ -302,7 +311,9 @@
         elif end is outcome.End.REPLACED:
             known.replaced(endpoint)
         elif end in (outcome.End.LOST, outcome.End.FAILED):
-            known.failed(endpoint, now)
+            # A rank's failure is its whole group's: none is better.
+            if not self._core.has_group(self._service):
+                known.failed(endpoint, now)
 
     # -- the end ---------------------------------------------------------
 
@@ -313,7 +324,10 @@
             case outcome.Step.DELIVER:
                 self._deliver(history)
             case outcome.Step.REFUSE:
-                self._refuse(Code.OVERLOADED, f'{self.endpoint}: {end.value}')
+                code = Code.OVERLOADED
+                if end is outcome.End.DOWN:
+                    code = Code.GROUP_DOWN
+                self._refuse(code, f'{self.endpoint}: {end.value}')
             case outcome.Step.GIVE_UP:
                 self._give_up(end)
             case outcome.Step.BREAK_OFF:
--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -28,6 +28,9 @@
 TURN = datetime.timedelta(milliseconds=200)
 """Pace at which a leader looks whether to renew, and for new groups."""
 
+NAME_BITS = 32
+"""Bits that tell a process from the one that ran on its host before."""
+
 DISCOVERY_INTERVAL = datetime.timedelta(seconds=5)
 """Pace of the search for groups that are not led yet."""
 
@@ -38,7 +41,7 @@
     def __init__(
         self,
         *,
-        name: str,
+        host: str,
         core: core_module.Core,
         platform: ports.Platform,
         rng: random.Random,
@@ -47,7 +50,11 @@
         self._store = platform.store
         self._engine = platform.engine
         self._rng = rng
-        self._contest = contest_module.Contest(name=name, rng=rng)
+        self._contest = contest_module.Contest(
+            name=f'{host}/{rng.getrandbits(NAME_BITS):08x}',
+            host=host,
+            rng=rng,
+        )
         self._leaders: dict[
             tuple[str, str], tuple[group_leader.GroupLeader, asyncio.Task]
         ] = {}
@@ -101,10 +108,18 @@
         await self._lead()
 
     async def _append(self, wish: contest_module.Wish) -> None:
-        value = orjson.dumps({'holder': wish.holder, 'token': wish.token})
+        record = {
+            'holder': wish.holder,
+            'host': wish.host,
+            'token': wish.token,
+        }
+        value = orjson.dumps(record)
         offset = await self._store.append(TOPIC, KEY, value, wish.end)
         grant = contest_module.Grant(
-            holder=wish.holder, token=wish.token, offset=offset
+            holder=wish.holder,
+            host=wish.host,
+            token=wish.token,
+            offset=offset,
         )
         self._contest.read(grant, offset + 1, self._core.clock.now())
 
@@ -133,6 +148,7 @@
                 found = orjson.loads(record.value)
                 grant = contest_module.Grant(
                     holder=found['holder'],
+                    host=found['host'],
                     token=found['token'],
                     offset=record.offset,
                 )
--- a/src/aspenfold/_internal/gateway/outcome.py
+++ b/src/aspenfold/_internal/gateway/outcome.py
@@ -18,6 +18,9 @@
     DECLINED = 'declined'
     """The endpoint says that it did not run the request."""
 
+    DOWN = 'down'
+    """The endpoint has room but its group of ranks does not run."""
+
     REPLACED = 'replaced'
     """Another incarnation answered; the request did not run."""
 
@@ -34,7 +37,10 @@
     """No whole answer came in time; the request may have run."""
 
 
-NOT_RUN = frozenset({End.NOT_SENT, End.DECLINED, End.REPLACED})
+NOT_RUN = frozenset({End.NOT_SENT, End.DECLINED, End.DOWN, End.REPLACED})
+
+FINAL = frozenset({End.TIMED_OUT, End.DOWN})
+"""Ends after which no other endpoint would do better."""
 
 
 class Step(enum.Enum):
@@ -87,7 +93,7 @@
     within = history.sent < history.route.max_attempts
     if end is End.NOT_SENT and history.unreachable >= MAX_UNREACHABLE:
         within = False
-    if end is not End.TIMED_OUT and repeatable and within and budget:
+    if end not in FINAL and repeatable and within and budget:
         return Step.AGAIN
     if history.head_delivered:
         return Step.BREAK_OFF
--- a/src/aspenfold/_internal/gateway/refusal.py
+++ b/src/aspenfold/_internal/gateway/refusal.py
@@ -13,6 +13,7 @@
     Code.NO_ENDPOINT: 503,
     Code.OVERLOADED: 503,
     Code.DRAINING: 503,
+    Code.GROUP_DOWN: 503,
     Code.ENDPOINT_LOST: 502,
     Code.FATE_UNKNOWN: 504,
 }
@@ -25,6 +26,9 @@
     Code.NO_ENDPOINT: datetime.timedelta(seconds=1),
     # About as long as one request in six takes to end.
     Code.OVERLOADED: datetime.timedelta(milliseconds=250),
+    # A group forms anew some seconds after its rank is back: more than
+    # the third of their time that callers wait.
+    Code.GROUP_DOWN: datetime.timedelta(seconds=10),
     # Another process takes the next connection.
     Code.DRAINING: datetime.timedelta(milliseconds=50),
 }
--- a/src/aspenfold/_internal/leases/contest.py
+++ b/src/aspenfold/_internal/leases/contest.py
@@ -28,10 +28,12 @@
 class Grant:
     """The last record: ``holder`` is empty if it was released.
 
-    ``token`` is the offset at which the holder's term began.
+    ``holder`` names a process on ``host``, ``token`` is the offset at
+    which its term began.
     """
 
     holder: str
+    host: str
     token: int
     offset: int
 
@@ -41,15 +43,20 @@
     """A record to append where the topic ends at ``end``."""
 
     holder: str
+    host: str
     token: int
     end: int
 
 
 class Contest:
-    """One process's part in the contest for one lease."""
+    """One process's part in the contest for one lease.
 
-    def __init__(self, *, name: str, rng: random.Random) -> None:
+    ``name`` is the process's alone, and another after a restart.
+    """
+
+    def __init__(self, *, name: str, host: str, rng: random.Random) -> None:
         self._name = name
+        self._host = host
         self._rng = rng
         self._grant: Grant | None = None
         self._seen_at: datetime.datetime | None = None
@@ -100,19 +107,25 @@
         if self.token:
             if now - seen < RENEW_AFTER:
                 return None
-            return Wish(holder=self._name, token=self.token, end=self._end)
+            return self._wish(self._name, self.token)
         free = self._grant is None or not self._grant.holder
+        if self._grant is not None and self._grant.host == self._host:
+            # Held by the process that ran here before this one.
+            free = True
         wait = self._wait if free else LAPSE + self._wait
         if now - seen < wait:
             return None
         # The token is the offset that the record will have, from 1.
-        return Wish(holder=self._name, token=self._end + 1, end=self._end)
+        return self._wish(self._name, self._end + 1)
 
     def release(self) -> Wish | None:
         """Return the record that gives the lease up."""
         if not self.token:
             return None
-        return Wish(holder='', token=self.token, end=self._end)
+        return self._wish('', self.token)
+
+    def _wish(self, holder: str, token: int) -> Wish:
+        return Wish(holder=holder, host=self._host, token=token, end=self._end)
 
     def _new_wait(self) -> datetime.timedelta:
         return JITTER * self._rng.random()
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -53,7 +53,7 @@
             platform=platform, believer=self._core, clock=clock
         )
         self._duty = maps_duty.MapsDuty(
-            name=f'{cfg.name}/{secrets.token_hex(4)}',
+            host=cfg.name,
             core=self._core,
             platform=platform,
             rng=random.Random(secrets.randbits(128)),
