--- a/src/aspenfold/_internal/expertmaps/switch.py
+++ b/src/aspenfold/_internal/expertmaps/switch.py
@@ -52,7 +52,7 @@
 ARM_LIMIT = datetime.timedelta(seconds=2)
 """A round that cannot arm all ranks for so long is undone."""
 
-LEAD_PASSES = 3
+LEAD_PASSES = 2
 """Passes that a hold must be ahead of the last one reported, beside
 those that begin while reports lag and orders travel."""
 
@@ -60,7 +60,7 @@
 """Passes that are tried one after the other; if none can be held, the
 hold of another round stands in the way."""
 
-LEAD_TIME = datetime.timedelta(milliseconds=450)
+LEAD_TIME = datetime.timedelta(milliseconds=300)
 """Report lag, and the time that arming all ranks takes."""
 
 
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -310,10 +310,11 @@
             known.unreachable(endpoint, now)
         elif end is outcome.End.REPLACED:
             known.replaced(endpoint)
-        elif end in (outcome.End.LOST, outcome.End.FAILED):
+        elif self._core.has_group(self._service):
             # A rank's failure is its whole group's: none is better.
-            if not self._core.has_group(self._service):
-                known.failed(endpoint, now)
+            return
+        elif end in (outcome.End.LOST, outcome.End.FAILED):
+            known.failed(endpoint, now)
 
     # -- the end ---------------------------------------------------------
 
--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -23,8 +23,8 @@
 TICK_S = 0.05
 """Pace of the switch's timers, under its shortest, 100 ms."""
 
-SAMPLE_INTERVAL = datetime.timedelta(milliseconds=600)
-"""Pace of reading counts."""
+SAMPLE_INTERVAL = datetime.timedelta(milliseconds=300)
+"""Pace of reading counts, of one rank after the other."""
 
 SAMPLED_RANKS = 2
 """Ranks whose counts are read; requests are dealt at random, so these
@@ -72,6 +72,7 @@
         self._demand = demand_module.Demand(
             sets=shape.sets, experts=shape.experts
         )
+        self._sample_turn = 0
         self._sampled_at: datetime.datetime | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.fenced = False
@@ -178,8 +179,7 @@
         if switch.state is switch_module.State.LOST:
             self._leave(switch)
             return
-        if switch.ready:
-            await self._watch(switch, now)
+        await self._watch(switch, now)
 
     def _leave(self, switch: switch_module.Switch) -> None:
         self._switch = None
@@ -201,14 +201,14 @@
         if last is not None and now - last < SAMPLE_INTERVAL:
             return
         self._sampled_at = now
+        self._sample_turn = (self._sample_turn + 1) % SAMPLED_RANKS
+        await self._sample(sorted(self._endpoints)[self._sample_turn])
+        if not switch.ready:
+            return
         if switch.version == switch.token and self._next_map:
             self._map = self._next_map
         self._next_map = ()
         self._perform(switch, [switch_module.Ask(rank=switch_module.HOLDER)])
-        chosen = sorted(self._endpoints)[:SAMPLED_RANKS]
-        await asyncio.gather(*(self._sample(rank) for rank in chosen))
-        if not switch.ready:
-            return
         new_map = await self._plan()
         if new_map is None or not switch.ready:
             return
