--- a/src/aspenfold/_internal/retries/shared.py
+++ b/src/aspenfold/_internal/retries/shared.py
@@ -17,6 +17,10 @@
 
 MIN_BURST = 1.0
 
+FIRST = 1.0
+"""Attempts that a new process may make before any request has filled
+its bucket.  One, since many processes may start in one window."""
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class SharedBudget:
@@ -28,7 +32,7 @@
 
     ratio: float
     slack: float
-    _tokens: float = 0.0
+    _tokens: float = FIRST
 
     @property
     def burst(self) -> float:
