--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -1,7 +1,6 @@
 """Keeps one gateway, under a lease, leading the expert-parallel groups."""
 
 import asyncio
-import contextlib
 import datetime
 import random
 
@@ -59,6 +58,8 @@
             tuple[str, str], tuple[group_leader.GroupLeader, asyncio.Task]
         ] = {}
         self._led = 0
+        # What the store has is not known, or may have changed.
+        self._stale = True
         self._discovered_at: datetime.datetime | None = None
 
     @property
@@ -82,16 +83,19 @@
         wish = self._contest.release()
         self._stop_leading()
         if wish is not None:
-            with contextlib.suppress(
-                ports.StoreUnavailable, ports.AppendConflict
-            ):
+            try:
                 await self._append(wish)
+            except (ports.StoreUnavailable, ports.AppendConflict) as exc:
+                # It lapses by itself, which only takes longer.
+                self._tell_failure(exc)
 
     # -- the lease -------------------------------------------------------
 
     async def _turn(self) -> None:
         now = self._core.clock.now()
         try:
+            if self._stale:
+                await self._read_newest()
             wish = self._contest.wish(now)
             if wish is not None:
                 await self._append(wish)
@@ -100,9 +104,12 @@
             else:
                 await self._follow()
         except ports.AppendConflict as exc:
+            # Another's record, or an own one whose answer was lost.
             self._contest.conflicted(exc.end)
-            await self._read_newest()
-        except ports.StoreUnavailable:
+            self._stale = True
+        except ports.StoreUnavailable as exc:
+            self._stale = True
+            self._tell_failure(exc)
             await asyncio.sleep(FAILED_WAIT.total_seconds())
         self._follow_token()
         await self._lead()
@@ -124,22 +131,26 @@
         self._contest.read(grant, offset + 1, self._core.clock.now())
 
     async def _follow(self) -> None:
-        if not self._contest.end:
-            await self._read_newest()
-            await asyncio.sleep(TURN.total_seconds())
-            return
+        due = self._contest.due_in(self._core.clock.now())
         try:
             page = await self._store.read(
-                TOPIC, self._contest.end, FOLLOW_WAIT
+                TOPIC, self._contest.end, min(FOLLOW_WAIT, due)
             )
         except ports.HistoryTrimmed:
-            await self._read_newest()
+            self._stale = True
             return
         self._take(page)
 
     async def _read_newest(self) -> None:
-        with contextlib.suppress(ports.StoreUnavailable):
-            self._take(await self._store.newest(TOPIC))
+        self._take(await self._store.newest(TOPIC))
+
+    def _tell_failure(self, exc: Exception) -> None:
+        events.emit(
+            events.Event.LEASE_UNSURE,
+            duty=KEY,
+            leads=self.leading,
+            error=str(exc)[:200],
+        )
 
     def _take(self, page: ports.Page) -> None:
         grant = None
@@ -154,6 +165,7 @@
                 )
         ends = [record.offset + 1 for record in page.records]
         end = max([*ends, page.end])
+        self._stale = False
         self._contest.read(grant, end, self._core.clock.now())
 
     def _follow_token(self) -> None:
--- a/src/aspenfold/_internal/leases/contest.py
+++ b/src/aspenfold/_internal/leases/contest.py
@@ -101,22 +101,28 @@
 
     def wish(self, now: datetime.datetime) -> Wish | None:
         """Return the record to append now, None if there is none."""
-        seen = self._seen_at
-        if seen is None:
+        if self.due_in(now) > datetime.timedelta(0):
             return None
         if self.token:
-            if now - seen < RENEW_AFTER:
-                return None
             return self._wish(self._name, self.token)
+        # The token is the offset that the record will have, from 1.
+        return self._wish(self._name, self._end + 1)
+
+    def due_in(self, now: datetime.datetime) -> datetime.timedelta:
+        """Return how long there is nothing to append."""
+        seen = self._seen_at
+        if seen is None:
+            return RENEW_AFTER
+        wait = RENEW_AFTER if self.token else self._free_after()
+        return seen + wait - now
+
+    def _free_after(self) -> datetime.timedelta:
+        """Return how long after its last record the lease is free."""
         free = self._grant is None or not self._grant.holder
         if self._grant is not None and self._grant.host == self._host:
             # Held by the process that ran here before this one.
             free = True
-        wait = self._wait if free else LAPSE + self._wait
-        if now - seen < wait:
-            return None
-        # The token is the offset that the record will have, from 1.
-        return self._wish(self._name, self._end + 1)
+        return self._wait if free else LAPSE + self._wait
 
     def release(self) -> Wish | None:
         """Return the record that gives the lease up."""
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -50,6 +50,7 @@
     GROUP_LOST = 604
     MAP_PLANNED = 605
     SWITCH_MOVED = 606
+    LEASE_UNSURE = 607
     LOG_LOST = 700
     LOG_BACK = 701
     HOST_LIST_LOST = 702
@@ -88,6 +89,7 @@
     Event.GROUP_LOST: 'a group broke, or another leader took over',
     Event.MAP_PLANNED: 'a leader begins to change a map',
     Event.SWITCH_MOVED: 'a change of map has come to its next state',
+    Event.LEASE_UNSURE: 'a lease could not be read or written',
     Event.LOG_LOST: 'the log service does not answer',
     Event.LOG_BACK: 'the log service answers again',
     Event.HOST_LIST_LOST: 'the host list does not answer',
