Gateways tell each other what is in flight

Cause: each gateway saw a seventh of the work, and sent streams to full ranks while others had room; the fullest rank also holds back all.

Change: small datagrams 25 ms after a change, peers found through a topic of the store, and the rank with the least work of all. gRPC was ruled out here: a lost message is made good by the next, and streams between all pairs would cost more bytes between zones than the counts.

--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -17,8 +17,12 @@
 from aspenfold._internal import routing
 from aspenfold._internal.routing import policy as routing_policy
 
-ROUTING = (routing, 'two-choices')
-"""Importing the package registered its policies; the name of ours."""
+PLUGINS = (routing,)
+"""Importing the package registered its policies."""
+
+PLAIN_ROUTING = 'two-choices'
+
+GROUP_ROUTING = 'least-loaded'
 
 
 class Core:
@@ -44,12 +48,8 @@
         self.draining = False
         self.refusing = False
         self._budgets: dict[str, shared.SharedBudget] = {}
-        self._routing: routing_policy.RoutingPolicy = registry.create(
-            routing_policy.KIND,
-            ROUTING[1],
-            zone=cfg.availability_zone,
-            rng=rng,
-        )
+        self._plain_routing = self._routing(PLAIN_ROUTING)
+        self._group_routing = self._routing(GROUP_ROUTING)
 
     # -- the plan --------------------------------------------------------
 
@@ -102,7 +102,19 @@
             found = self.directory.routable(service, now)
         if not found:
             return None
-        return self._routing.choose(found, '', True)
+        policy = self._plain_routing
+        if self.has_group(service):
+            policy = self._group_routing
+        return policy.choose(found, '', True)
+
+    def _routing(self, name: str) -> routing_policy.RoutingPolicy:
+        policy: routing_policy.RoutingPolicy = registry.create(
+            routing_policy.KIND,
+            name,
+            zone=self.cfg.availability_zone,
+            rng=self.rng,
+        )
+        return policy
 
     def budget(self, service: str) -> shared.SharedBudget:
         """Return the service's retry budget."""
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -56,7 +56,11 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Endpoint:
-    """One incarnation of an endpoint, and what this gateway sent it."""
+    """One incarnation of an endpoint, and what gateways sent it.
+
+    ``in_flight`` is this gateway's own, ``elsewhere`` what its peers
+    told of theirs, ``load`` the endpoint's word on all of it.
+    """
 
     listing: Listing
     leaving: bool = False
@@ -66,6 +70,7 @@
     in_flight: int = 0
     load: Load | None = None
     in_flight_at_load: int = 0
+    elsewhere: int = 0
 
     @property
     def name(self) -> str:
@@ -80,8 +85,8 @@
     @property
     def pressure(self) -> float:
         """Work there over capacity, as far as this gateway can tell."""
-        seen = self.in_flight
-        if self.load is not None:
+        seen = self.in_flight + self.elsewhere
+        if self.load is not None and not self.elsewhere:
             told = self.load.running + self.load.waiting
             seen = max(seen, told + self.in_flight - self.in_flight_at_load)
         return seen / self.listing.capacity
@@ -115,6 +120,14 @@
         """Return all known endpoints of a service."""
         return self._by_service.get(service, ())
 
+    def in_flight(self) -> dict[str, int]:
+        """Return what this gateway has in flight, by endpoint."""
+        return {
+            e.name: e.in_flight
+            for e in self._endpoints.values()
+            if e.in_flight
+        }
+
     def names(self) -> list[str]:
         """Return the names of all known endpoints."""
         return list(self._endpoints)
--- a/src/aspenfold/_internal/gateway/ports.py
+++ b/src/aspenfold/_internal/gateway/ports.py
@@ -72,6 +72,9 @@
         Raises :class:`AppendConflict`, with nothing appended.
         """
 
+    async def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record wherever the topic ends; return its offset."""
+
     def forget_connections(self) -> None:
         """Give up calls in progress; the path to the store was cut."""
 
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/roster.py
@@ -0,0 +1,79 @@
+"""Finds the other gateways through a topic of the store."""
+
+import asyncio
+import datetime
+
+from aspenfold._internal.gateway import peers as peers_module
+from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import settings
+from aspenfold._internal.observability import events
+
+TOPIC = 'keyed.aspenfold-gateways'
+"""Our own topic; a record's key is the gateway's host."""
+
+WAIT = datetime.timedelta(seconds=25)
+"""Longest waiting read: gateways come and go rarely, and one that is
+not known yet only makes choices a little worse."""
+
+RETRY_WAIT_S = 2.0
+"""Wait after a failed call; nothing depends on it."""
+
+
+class Roster:
+    """Writes this gateway's address, and follows the others'."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        address: settings.TcpAddress,
+        store: ports.Store,
+        peers: peers_module.Peers,
+    ) -> None:
+        self._host = host
+        self._address = address
+        self._store = store
+        self._peers = peers
+        self._known: dict[str, settings.TcpAddress] = {}
+        self._end: int | None = None
+        self._written = False
+
+    async def run(self) -> None:
+        """Follow the topic for ever."""
+        while True:
+            try:
+                await self._turn()
+            except ports.HistoryTrimmed:
+                self._end = None
+            except ports.StoreUnavailable as exc:
+                events.emit(events.Event.ROSTER_UNSURE, error=str(exc)[:200])
+                await asyncio.sleep(RETRY_WAIT_S)
+
+    async def _turn(self) -> None:
+        if self._end is None:
+            self._take(await self._store.newest(TOPIC))
+        if self._known.get(self._host) != self._address:
+            value = str(self._address).encode()
+            await self._store.put(TOPIC, self._host, value)
+        assert self._end is not None
+        self._take(await self._store.read(TOPIC, self._end, WAIT))
+
+    def _take(self, page: ports.Page) -> None:
+        for record in page.records:
+            address = _parse(record.value)
+            if address is None:
+                self._known.pop(record.key, None)
+            else:
+                self._known[record.key] = address
+        ends = [record.offset + 1 for record in page.records]
+        self._end = max([*ends, page.end, self._end or 0])
+        self._peers.roster(dict(self._known))
+
+
+def _parse(value: bytes | None) -> settings.TcpAddress | None:
+    if not value:
+        return None
+    host, _, port = value.decode('ascii', 'replace').rpartition(':')
+    if not host or not port.isdigit():
+        return None
+    return settings.TcpAddress(host=host, port=int(port))
--- a/src/aspenfold/_internal/gateway/settings.py
+++ b/src/aspenfold/_internal/gateway/settings.py
@@ -18,6 +18,7 @@
 class GatewaySettings:
     """Settings of one process; durations are in seconds.
 
+    Gateways exchange datagrams at ``peer_port``, the same on all hosts.
     ``callers`` and ``health`` are None on hosts without callers,
     ``local_endpoint`` is None on hosts without an endpoint.  After
     SIGTERM a process has ``grace_s`` to end.  In each
@@ -29,6 +30,7 @@
     name: str
     availability_zone: str
     address: str
+    peer_port: int
     callers: TcpAddress | None
     health: TcpAddress | None
     store: TcpAddress
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -44,6 +44,7 @@
     ENDPOINT_LISTED = 502
     ENDPOINT_GONE = 503
     ENDPOINT_DOUBTED = 504
+    ROSTER_UNSURE = 505
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -83,6 +84,7 @@
     Event.ENDPOINT_LISTED: 'an endpoint came to the list, or is leaving',
     Event.ENDPOINT_GONE: 'an endpoint has left the list',
     Event.ENDPOINT_DOUBTED: 'a gateway passes an endpoint over for a while',
+    Event.ROSTER_UNSURE: 'the list of gateways cannot be read now',
     Event.ORDER_REFUSED: 'an engine did not take an order',
     Event.LEADERSHIP: 'a gateway begins or ends to lead the groups',
     Event.GROUP_FOUND: 'a leader knows all ranks of an open group',
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -10,9 +10,12 @@
 from aspenfold._internal.gateway import exchange as exchange_module
 from aspenfold._internal.gateway import feeds as feeds_module
 from aspenfold._internal.gateway import maps_duty
+from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import roster as roster_module
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.network import datagrams
 from aspenfold._internal.network import http1_server
 from aspenfold._internal.observability import events
 from aspenfold._internal.processes import tasks
@@ -26,6 +29,9 @@
 
 DRAIN_POLL_S = 0.05
 
+PEER_TICK_S = 0.025
+"""How often to look whether peers are due news."""
+
 METRICS_PORT = 9464
 """Where metrics are served: the port that exporters customarily use."""
 
@@ -58,6 +64,17 @@
             platform=platform,
             rng=random.Random(secrets.randbits(128)),
         )
+        self._peers = peers_module.Peers(
+            host=cfg.name,
+            incarnation=secrets.token_hex(4),
+            members=self._core.directory,
+        )
+        self._roster = roster_module.Roster(
+            host=cfg.name,
+            address=settings.TcpAddress(host=cfg.address, port=cfg.peer_port),
+            store=platform.store,
+            peers=self._peers,
+        )
         self._tasks = tasks.Tasks()
         self._stop = asyncio.Event()
         self._callers = self._server(self._handle)
@@ -81,6 +98,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._tasks.spawn(self._feeds.follow_plan())
         self._tasks.spawn(self._feeds.follow_list())
+        self._tasks.spawn(self._roster.run())
+        self._tasks.spawn(self._tell_peers())
         duty = asyncio.create_task(self._duty.run())
         callers, health = self._cfg.callers, self._cfg.health
         assert callers is not None
@@ -101,6 +120,24 @@
         self._tasks.cancel()
         events.emit(events.Event.STOPPED, name=self._cfg.name)
 
+    async def _tell_peers(self) -> None:
+        """Exchange with the other gateways what is in flight."""
+
+        def receive(data: bytes, sender: str) -> None:
+            self._peers.heard(data, sender, self._clock.now())
+
+        socket = await datagrams.listen(
+            self._cfg.address, self._cfg.peer_port, receive
+        )
+        while True:
+            await asyncio.sleep(PEER_TICK_S)
+            now = self._clock.now()
+            self._peers.forget_silent(now)
+            data = self._peers.datagram(now)
+            if data is not None:
+                for address in self._peers.addresses:
+                    socket.send(data, address.host, address.port)
+
     def _reload(self) -> None:
         """SIGHUP: all that can change is read from the store anyway."""
         events.emit(events.Event.RELOADED, name=self._cfg.name)
--- a/src/aspenfold/platform/settings.py
+++ b/src/aspenfold/platform/settings.py
@@ -48,6 +48,8 @@
     ip: str
     zone: str
     listen: _Listen = _Listen()
+    # The first and the last port that our own processes may use.
+    internal_port_range: tuple[int, int] = (0, 0)
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     platform: _Store
@@ -81,6 +83,7 @@
         name=found.node,
         availability_zone=found.zone,
         address=found.ip,
+        peer_port=found.internal_port_range[0],
         callers=_address(found.listen.front, 'listen.front'),
         health=_address(found.listen.ready, 'listen.ready'),
         store=_required(found.platform.address, 'platform.address'),
--- a/src/aspenfold/platform/store.py
+++ b/src/aspenfold/platform/store.py
@@ -86,11 +86,22 @@
         self, topic: str, key: str, value: bytes, expected_offset: int
     ) -> int:
         """Append a record if the topic ends there; return its offset."""
-        query = {
-            'topic': topic,
-            'part': '0',
-            'expected_offset': str(expected_offset),
-        }
+        return await self._append(topic, key, value, expected_offset)
+
+    async def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record wherever the topic ends; return its offset."""
+        return await self._append(topic, key, value, None)
+
+    async def _append(
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        expected_offset: int | None,
+    ) -> int:
+        query = {'topic': topic, 'part': '0'}
+        if expected_offset is not None:
+            query['expected_offset'] = str(expected_offset)
         target = f'/api/log-append?{urllib.parse.urlencode(query)}'
         content = bytes([len(key)]) + key.encode() + value
         body = LENGTH.pack(len(content)) + content
