--- a/src/aspenfold/_internal/expertmaps/demand.py
+++ b/src/aspenfold/_internal/expertmaps/demand.py
@@ -8,9 +8,13 @@
 """Age at which counts weigh half: demand shifts every few seconds, and
 a second has counts of some dozen requests."""
 
-MIN_WEIGHT = 20_000.0
-"""Choices, over all sets, below which nothing is estimated: about one
-prompt of 300 tokens."""
+MIN_CHOICES = 1_000
+"""Choices for each expert, on average, below which nothing is estimated:
+about two prompts of a thousand tokens, whose contents would decide."""
+
+FIRST_CHOICES = 20_000
+"""Choices for each expert that a rank must have counted since its start,
+some forty requests, to be taken as a first estimate of demand."""
 
 PRIOR = 0.1
 """Part of the demand that is spread evenly: an expert that was not seen
@@ -30,26 +34,44 @@
     def sample(
         self, rank: int, counts: ranks.Counts, now: datetime.datetime
     ) -> None:
-        """Take a rank's counts; the first of an epoch only sets a mark."""
+        """Take a rank's counts; later ones count from the last sample.
+
+        The first of a new epoch only sets a mark.
+        """
         if len(counts.counts) != len(self._weights):
             return
         last = self._last.get(rank)
         self._last[rank] = counts
-        if last is None or last.epoch != counts.epoch:
-            return
         self._decay(now)
+        if last is None:
+            self._take_first(counts)
+            return
+        if last.epoch != counts.epoch:
+            return
         for i, (new, old) in enumerate(
             zip(counts.counts, last.counts, strict=True)
         ):
             self._weights[i] += max(0, new - old)
 
+    def _take_first(self, counts: ranks.Counts) -> None:
+        """Let a rank's long count stand for twice the least needed.
+
+        That plans a first map, and is soon outweighed by newer counts.
+        """
+        total = sum(counts.counts)
+        if total < FIRST_CHOICES * len(self._weights):
+            return
+        scale = 2 * MIN_CHOICES * len(self._weights) / total
+        for i, count in enumerate(counts.counts):
+            self._weights[i] += count * scale
+
     def loads(self, now: datetime.datetime) -> list[list[float]] | None:
         """Return each set's demand by expert, None if too little is known.
 
         Each set's demand adds up to 1.
         """
         self._decay(now)
-        if sum(self._weights) < MIN_WEIGHT:
+        if sum(self._weights) < MIN_CHOICES * len(self._weights):
             return None
         result = []
         for first in range(0, len(self._weights), self._experts):
