Test the gateway over real sockets, with stand-ins that misbehave

The first run found that a process without a plan said to come back after 0.000 s: the time left was taken from a route it did not know.

--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -1,7 +1,6 @@
 """One caller's request, from its head to the end of its answer."""
 
 import asyncio
-import contextlib
 import datetime
 import math
 
@@ -25,6 +24,12 @@
 MAX_WHOLE_ANSWER = 4_194_304
 """Largest answer that is held until it is whole; as the body limit."""
 
+UNTOLD_LEFT = datetime.timedelta(hours=1)
+"""Stands for the wait of callers that do not tell theirs, or nonsense;
+the route's timeout is shorter."""
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run."""
 
@@ -46,7 +51,7 @@
         self._answer = answer
         self._names = core.names
         self._id = request.header(core.names.attempt_id).decode('latin-1')
-        self._deadline = request.received_at
+        self._deadline = request.received_at + self._told_left()
         self._organisation = ''
         self._service = ''
         self._tried: set[str] = set()
@@ -108,13 +113,20 @@
 
     def _deadline_of(self, route: plan_module.Route) -> datetime.datetime:
         """Return when the caller or the route's timeout ends the wait."""
-        left = route.timeout
-        told = self._request.header(self._names.time_left_ms)
-        with contextlib.suppress(ValueError):
-            told_left = datetime.timedelta(milliseconds=float(told))
-            left = min(left, told_left)
+        left = min(route.timeout, self._told_left())
         return self._request.received_at + left
 
+    def _told_left(self) -> datetime.timedelta:
+        """Return how long the caller says that it waits."""
+        told = self._request.header(self._names.time_left_ms)
+        try:
+            left = float(told)
+        except ValueError:
+            return UNTOLD_LEFT
+        if not 0 <= left <= UNTOLD_LEFT / MILLISECOND:
+            return UNTOLD_LEFT
+        return datetime.timedelta(milliseconds=left)
+
     # -- attempts --------------------------------------------------------
 
     async def _attempts(self, history: outcome.History) -> None:
--- a/src/aspenfold/_internal/gateway/settings.py
+++ b/src/aspenfold/_internal/gateway/settings.py
@@ -33,6 +33,7 @@
     peer_port: int
     callers: TcpAddress | None
     health: TcpAddress | None
+    metrics: TcpAddress
     store: TcpAddress
     local_endpoint: TcpAddress | None
     local_service: str
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -32,9 +32,6 @@
 PEER_TICK_S = 0.025
 """How often to look whether peers are due news."""
 
-METRICS_PORT = 9464
-"""Where metrics are served: the port that exporters customarily use."""
-
 
 class GatewayProcess:
     """Connects the core with sockets and signals."""
@@ -77,6 +74,10 @@
         )
         self._tasks = tasks.Tasks()
         self._stop = asyncio.Event()
+        self._leading: asyncio.Task[None] | None = None
+        self.port = 0
+        self.health_port = 0
+        self.metrics_port = 0
         self._callers = self._server(self._handle)
         self._health = self._server(self._answer_health)
         self._metrics = self._server(self._answer_metrics)
@@ -94,31 +95,38 @@
         """Serve until SIGTERM, then finish what is in flight."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
+            loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        await self._stop.wait()
+        await self.drain()
+
+    def stop(self) -> None:
+        """Begin to end; asking twice changes nothing."""
+        self._stop.set()
+
+    async def start(self) -> None:
+        """Listen, and begin to learn the plan and the endpoints."""
         self._tasks.spawn(self._feeds.follow_plan())
         self._tasks.spawn(self._feeds.follow_list())
         self._tasks.spawn(self._roster.run())
         self._tasks.spawn(self._tell_peers())
-        duty = asyncio.create_task(self._duty.run())
+        self._leading = asyncio.create_task(self._duty.run())
         callers, health = self._cfg.callers, self._cfg.health
         assert callers is not None
         assert health is not None
-        await self._callers.start(callers.host, callers.port)
-        await self._health.start(health.host, health.port)
-        await self._metrics.start(self._cfg.address, METRICS_PORT)
+        self.port = await self._callers.start(callers.host, callers.port)
+        self.health_port = await self._health.start(health.host, health.port)
+        metrics = self._cfg.metrics
+        self.metrics_port = await self._metrics.start(
+            metrics.host, metrics.port
+        )
         events.emit(
             events.Event.STARTED,
             process='gateway',
             name=self._cfg.name,
             zone=self._cfg.availability_zone,
         )
-        await self._stop.wait()
-        duty.cancel()
-        self._tasks.spawn(self._duty.release())
-        await self._drain()
-        self._tasks.cancel()
-        events.emit(events.Event.STOPPED, name=self._cfg.name)
 
     async def _tell_peers(self) -> None:
         """Exchange with the other gateways what is in flight."""
@@ -165,6 +173,22 @@
             and not self._core.draining
         )
 
+    @property
+    def endpoints(self) -> int:
+        """How many endpoints are known."""
+        return len(self._core.directory)
+
+    def routable(self, service: str) -> int:
+        """Return how many endpoints of a service may get requests."""
+        now = self._clock.now()
+        return len(self._core.directory.routable(service, now))
+
+    @property
+    def plan_version(self) -> int:
+        """The version of the plan in force, 0 for none."""
+        table = self._core.table
+        return table.plan.version if table is not None else 0
+
     async def _answer_health(
         self, request: http1_server.Request, answer: http1_server.Answer
     ) -> None:
@@ -185,7 +209,16 @@
 
     # -- the end ---------------------------------------------------------
 
-    async def _drain(self) -> None:
+    async def abort(self) -> None:
+        """End at once, whatever is in flight."""
+        if self._leading is not None:
+            self._leading.cancel()
+        self._tasks.cancel()
+        for server in (self._callers, self._health, self._metrics):
+            server.close()
+        await asyncio.sleep(0)
+
+    async def drain(self) -> None:
         """Turn callers away, finish what runs, and end in time."""
         loop = asyncio.get_running_loop()
         end = loop.time() + self._cfg.grace_s - EXIT_MARGIN_S
@@ -196,7 +229,10 @@
             name=self._cfg.name,
             in_flight=self._in_flight,
         )
-        await asyncio.sleep(BALANCER_WAIT_S)
+        if self._leading is not None:
+            self._leading.cancel()
+        self._tasks.spawn(self._duty.release())
+        await asyncio.sleep(min(BALANCER_WAIT_S, self._cfg.grace_s / 2))
         self._core.refusing = True
         self._callers.close()
         while self._in_flight and loop.time() < end:
@@ -208,3 +244,7 @@
                 name=self._cfg.name,
                 in_flight=self._in_flight,
             )
+        self._tasks.cancel()
+        for server in (self._health, self._metrics):
+            server.close()
+        events.emit(events.Event.STOPPED, name=self._cfg.name)
--- a/src/aspenfold/platform/settings.py
+++ b/src/aspenfold/platform/settings.py
@@ -11,6 +11,10 @@
 VARIABLE = 'ASPENFOLD_SETTINGS'
 """The environment variable that holds the file's path."""
 
+METRICS_PORT = 9464
+"""Where metrics are served; stands in deploy/system.toml too.  The
+settings name no port; exporters customarily use this one."""
+
 
 class _Border(pydantic.BaseModel):
     """New fields may come; those that are not known are ignored."""
@@ -86,6 +90,7 @@
         peer_port=found.internal_port_range[0],
         callers=_address(found.listen.front, 'listen.front'),
         health=_address(found.listen.ready, 'listen.ready'),
+        metrics=settings.TcpAddress(host=found.ip, port=METRICS_PORT),
         store=_required(found.platform.address, 'platform.address'),
         local_endpoint=_address(found.app, 'app'),
         local_service=found.service,
--- /dev/null
+++ b/tests/functional/test_gateway.py
@@ -0,0 +1,464 @@
+"""The gateway with real sockets: one answer, and never a false one."""
+
+import asyncio
+from collections import abc
+
+from aspenfold_standins import platform_worker as workers
+import pytest
+
+from tests.lib import gateway_rig as rigs
+
+SEAL = 'x-aspenfold-response-seal'
+
+
+def play(
+    scene: abc.Callable[[rigs.Rig], abc.Awaitable[None]],
+    value: dict[str, object] | None = None,
+) -> None:
+    """Run a scene with a gateway."""
+
+    async def run() -> None:
+        async with rigs.running(value) as rig:
+            await scene(rig)
+
+    asyncio.run(run())
+
+
+async def two(
+    rig: rigs.Rig, first: workers.Script, second: workers.Script
+) -> tuple[workers.Worker, workers.Worker]:
+    """Add two endpoints with these scripts."""
+    one = await rig.add_worker('w-1', first)
+    other = await rig.add_worker('w-2', second)
+    await rig.ready()
+    await rigs.until(lambda: rig.process.endpoints == 2)
+    return one, other
+
+
+def runs(rig: rigs.Rig) -> int:
+    """Return how often endpoints ran anything."""
+    return sum(sum(worker.runs.values()) for worker in rig.workers)
+
+
+def test_an_answer_is_passed_on_whole() -> None:
+    """Body, status and signature are the endpoint's."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1')
+        await rig.ready()
+        answer = await rig.ask('/safe/a?b=c', body='hello')
+        assert answer.status == 200
+        assert answer.whole
+        assert answer.body == b'answer of w-1'
+        assert answer.headers[SEAL] == 'seal-w-1'
+        request = rig.workers[0].arrivals[0]
+        assert (request.method, request.target) == ('POST', '/safe/a?b=c')
+        assert request.body == b'hello'
+
+    play(scene)
+
+
+def test_the_endpoint_gets_what_it_should_know_and_no_key() -> None:
+    """Organisation, time left and incarnation; not the credential."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1')
+        await rig.ready()
+        await rig.ask(
+            '/safe/',
+            X_Aspenfold_Tenant='forged',
+            X_Aspenfold_Expect_Instance='forged',
+            X_Aspenfold_Deadline_Remaining_Ms='900',
+            X_Custom='kept',
+        )
+        got = rig.workers[0].arrivals[0].headers
+        assert got['x-aspenfold-tenant'] == 'one'
+        assert got['x-aspenfold-expect-instance'] == 'w-1'
+        assert 0 < int(got['x-aspenfold-deadline-remaining-ms']) <= 900
+        assert got['x-custom'] == 'kept'
+        assert 'authorization' not in got
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [
+        ('/nowhere/', rigs.KEY, 404),
+        ('/saf', rigs.KEY, 404),
+        ('/safe/', 'wrong', 401),
+        ('/safe/', '', 401),
+        ('/open/', '', 200),
+    ],
+)
+def test_routes_and_keys(path: str, key: str, status: int) -> None:
+    """Paths without a route are 404, unknown keys 401."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1')
+        await rig.ready()
+        assert (await rig.ask(path, key)).status == status
+
+    play(scene)
+
+
+def test_without_a_plan_nothing_is_denied() -> None:
+    """A process that knows no plan says 503, and is not ready."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        answer = await rig.ask('/safe/')
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 0
+        assert not rig.process.ready
+        rig.store.trouble = rig.store.trouble.NONE
+        await rig.add_worker('w-1')
+        await rig.ready()
+        assert (await rig.ask('/safe/')).status == 200
+
+    async def run() -> None:
+        rig = rigs.Rig()
+        await rig.store.start()
+        await rig.configure(rigs.plan())
+        rig.store.trouble = rig.store.trouble.BUSY
+        await rig.start()
+        try:
+            await scene(rig)
+        finally:
+            await rigs.close(rig)
+
+    asyncio.run(run())
+
+
+def test_a_safe_failure_is_tried_elsewhere() -> None:
+    """The caller sees only the whole answer."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        bad, _ = await two(rig, workers.failing, workers.whole)
+        for _ in range(8):
+            answer = await rig.ask('/safe/')
+            if bad.arrivals:
+                break
+        assert answer.status == 200
+        assert bad.arrivals
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ('script', 'status'),
+    [
+        (workers.failing, 500),
+        (workers.run_and_reset, 502),
+        (workers.truncated, 502),
+        (workers.silent_503, 502),
+        (workers.others_answer, 502),
+        (workers.not_http, 502),
+        (workers.unframed_reset, 502),
+    ],
+)
+def test_an_unsafe_request_that_may_have_run_runs_once(
+    script: workers.Script, status: int
+) -> None:
+    """It is not sent again, and no answer says that it has not run."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await two(rig, script, script)
+        answer = await rig.ask('/unsafe/', body='x')
+        assert answer.status == status
+        assert 'retry-after' not in answer.headers
+        assert runs(rig) == 1
+
+    play(scene)
+
+
+def test_an_unsafe_request_goes_on_after_proof_of_not_run() -> None:
+    """Refused connections and refusals allow another endpoint."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        shut, _ = await two(rig, workers.whole, workers.whole)
+        await shut.stop()
+        for _ in range(6):
+            assert (await rig.ask('/unsafe/', body='x')).status == 200
+        assert not shut.arrivals
+
+    play(scene)
+
+
+def test_attempts_are_bounded_by_the_route() -> None:
+    """With one attempt allowed a refusal is the answer, and it is true."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await two(rig, workers.full, workers.full)
+        answer = await rig.ask('/once/', body='x')
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 0
+        assert sum(len(w.arrivals) for w in rig.workers) == 1
+        assert runs(rig) == 0
+
+    play(scene)
+
+
+def test_an_answer_without_a_length_is_whole_at_its_end() -> None:
+    """It gets a length towards the caller."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1', workers.unframed)
+        await rig.ready()
+        answer = await rig.ask('/unsafe/', body='x')
+        assert (answer.status, answer.body) == (200, b'no length')
+        assert answer.whole
+
+    play(scene)
+
+
+def test_an_address_that_changed_hands_runs_nothing() -> None:
+    """421 tells that another incarnation is there; it is not used."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1')
+        await rig.ready()
+        worker.name = 'w-9'
+        answer = await rig.ask('/once/', body='x')
+        assert answer.status == 503
+        assert runs(rig) == 0
+
+    play(scene)
+
+
+def whole_stream(count: int = 10) -> bytes:
+    """Return a whole stream's bytes."""
+    return b''.join(workers.event(n) for n in range(1, count + 1))
+
+
+def test_a_broken_stream_goes_on_at_the_next_event() -> None:
+    """Each event comes once; head and signature stay the first's."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        broken, _ = await two(rig, workers.stream_broken, workers.stream)
+        for _ in range(8):
+            answer = await rig.ask('/stream/', body='x')
+            assert answer.whole
+            assert answer.body == whole_stream()
+            if broken.arrivals:
+                break
+        assert answer.headers[SEAL] == 'seal-w-1'
+        resumed = rig.workers[1].arrivals[-1].headers
+        assert resumed['last-event-id'] == '4'
+
+    play(scene)
+
+
+def test_a_stream_that_cannot_be_resumed_looks_broken() -> None:
+    """It is not run again, and has no proper end."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await two(rig, workers.stream_broken, workers.stream_broken)
+        answer = await rig.ask('/song/', body='x')
+        assert answer.status == 200
+        assert not answer.whole
+        assert answer.body == whole_stream(4)
+        assert runs(rig) == 1
+
+    play(scene)
+
+
+def test_events_are_passed_on_as_they_come() -> None:
+    """The first is there while the endpoint still makes others."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1', workers.stream)
+        worker.gap_s = 0.2
+        await rig.ready()
+        reader, writer = await rig.connect()
+        writer.write(rig.head('/stream/')[1])
+        data = b''
+        while workers.event(1) not in data:
+            data += await reader.read(1000)
+        assert workers.event(3) not in data
+        writer.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize('script', [workers.hang, workers.stream])
+def test_a_callers_close_reaches_the_endpoint(
+    script: workers.Script,
+) -> None:
+    """Before the first event, and in the middle of a stream."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1', script)
+        worker.gap_s = 0.1
+        worker.events = 1000
+        await rig.ready()
+        _, writer = await rig.connect()
+        writer.write(rig.head('/stream/')[1])
+        await rigs.until(lambda: worker.runs)
+        writer.close()
+        await rigs.until(lambda: worker.cancelled)
+
+    play(scene)
+
+
+def test_a_routes_timeout_ends_the_wait() -> None:
+    """A request that may have run is answered 504, at the timeout."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1', workers.hang)
+        await rig.ready()
+        assert (await rig.ask('/short/')).status == 504
+        left = worker.arrivals[0].headers['x-aspenfold-deadline-remaining-ms']
+        assert int(left) <= 300
+
+    play(scene)
+
+
+def test_a_broken_group_is_not_tried_twice() -> None:
+    """Its caller is told at once to come back late."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        for name in ('w-1', 'w-2'):
+            await rig.add_worker(name, workers.group_down, 'model')
+        await rig.ready()
+        answer = await rig.ask('/model/', body='x')
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 1
+        assert sum(len(w.arrivals) for w in rig.workers) == 1
+
+    play(scene)
+
+
+@pytest.mark.parametrize('how', ['draining', 'removed'])
+def test_an_endpoint_that_leaves_gets_no_more(how: str) -> None:
+    """From its own word in the store, or its removal."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        leaving, _ = await two(rig, workers.whole, workers.whole)
+        topic = rigs.members.TOPIC
+        if how == 'removed':
+            await rig.store.remove(topic, 'w-1')
+        else:
+            entry = leaving.entry('plain', 'draining')
+            await rig.store.put(topic, 'w-1', entry)
+        await rigs.until(lambda: rig.process.routable('plain') == 1)
+        # What was learnt stays in force while the store is away.
+        rig.store.trouble = rig.store.trouble.RESET
+        before = len(leaving.arrivals)
+        for _ in range(6):
+            assert (await rig.ask('/safe/')).status == 200
+        assert len(leaving.arrivals) == before
+
+    play(scene)
+
+
+def test_a_new_plan_takes_force_and_an_old_one_never() -> None:
+    """Also after the history was dropped, and from old readings."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1')
+        await rig.ready()
+        rig.store.begin_stale()
+        rig.store.trouble = rig.store.trouble.NONE
+        await rig.configure(rigs.plan(5, tenants=[]))
+        await rigs.until(lambda: rig.process.plan_version == 5)
+        assert (await rig.ask('/safe/', '')).status == 200
+        rig.store.drop_history(rigs.config.TOPIC)
+        await rig.configure(rigs.plan(3))
+        await rig.configure(rigs.plan(6))
+        await rigs.until(lambda: rig.process.plan_version == 6)
+        rig.store.trouble = rig.store.trouble.STALE
+        assert (await rig.ask('/safe/', '')).status == 401
+        assert rig.process.plan_version == 6
+
+    play(scene)
+
+
+def test_a_record_that_is_no_plan_changes_nothing() -> None:
+    """The plan before stays in force, and reading goes on."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1')
+        await rig.ready()
+        await rig.configure({'version': 'nonsense'})
+        await rig.configure(rigs.plan(2))
+        await rigs.until(lambda: rig.process.plan_version == 2)
+        assert (await rig.ask('/safe/')).status == 200
+
+    play(scene)
+
+
+def test_ending_finishes_what_runs() -> None:
+    """Health turns bad at once; a stream in flight comes whole."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1', workers.stream)
+        worker.gap_s = 0.05
+        await rig.ready()
+        asking = asyncio.ensure_future(rig.ask('/stream/', body='x'))
+        await rigs.until(lambda: worker.runs)
+        ending = asyncio.ensure_future(rig.process.drain())
+        await asyncio.sleep(0)
+        assert not rig.process.ready
+        late = await rig.ask('/stream/', body='x')
+        assert late.headers['connection'] == 'close'
+        answer = await asking
+        assert answer.whole
+        assert answer.body == whole_stream()
+        await ending
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ('data', 'status'),
+    [
+        (b'nonsense\r\n\r\n', 400),
+        (
+            b'GET /safe/ HTTP/1.1\r\nHost: x\r\nX: '
+            + b'y' * 4500
+            + b'\r\n\r\n',
+            431,
+        ),
+        (
+            b'POST /safe/ HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: 20000\r\n\r\n',
+            413,
+        ),
+        (b'GET /safe/ HTTP/1.1\r\nHost: x\r\n', 408),
+        (
+            b'POST /safe/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n'
+            b'Content-Length: 2\r\n\r\n',
+            400,
+        ),
+    ],
+)
+def test_improper_requests_are_refused(data: bytes, status: int) -> None:
+    """They reach no endpoint, and the next connection is served."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1')
+        await rig.ready()
+        assert (await rig.send(data)).status == status
+        assert (await rig.ask('/safe/')).status == 200
+        assert len(rig.workers[0].arrivals) == 1
+
+    play(scene)
+
+
+def test_a_kept_connection_serves_requests_in_order() -> None:
+    """Also when they are sent at once."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1')
+        await rig.ready()
+        reader, writer = await rig.connect()
+        heads = [rig.head('/safe/') for _ in range(3)]
+        writer.write(b''.join(head for _, head in heads))
+        text = b''
+        while text.count(b'answer of w-1') < 3:
+            text += await asyncio.wait_for(reader.read(4096), rigs.WAIT_S)
+        order = [text.index(attempt.encode()) for attempt, _ in heads]
+        assert order == sorted(order)
+        writer.close()
+
+    play(scene)
