Test the gateway's decisions without I/O

Outcomes in every case, what is believed of endpoints and plans through outages and old readings, budgets, leases, peers, plans, demand, logs; and that only the command line imports the platform's folder.

--- /dev/null
+++ b/tests/unit/test_gateway_feeds.py
@@ -0,0 +1,262 @@
+"""What a gateway believes of endpoints and plans, by a driven clock."""
+
+import asyncio
+import datetime
+
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import feeds
+from aspenfold._internal.gateway import plan
+from aspenfold._internal.gateway import ports
+from aspenfold._internal.kernel import clock
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+class FakeStore:
+    """Gives scripted pages; None stands for a store that is away."""
+
+    def __init__(self) -> None:
+        self.pages: list[ports.Page | None] = []
+        self.trimmed = False
+
+    async def newest(self, topic: str) -> ports.Page:
+        """Give the next page."""
+        return self._next()
+
+    async def read(
+        self, topic: str, offset: int, wait: datetime.timedelta
+    ) -> ports.Page:
+        """Give the next page."""
+        if self.trimmed:
+            self.trimmed = False
+            raise ports.HistoryTrimmed
+        return self._next()
+
+    def _next(self) -> ports.Page:
+        page = self.pages.pop(0)
+        if page is None:
+            raise ports.StoreUnavailable('away')
+        return page
+
+    async def append(
+        self, topic: str, key: str, value: bytes, expected_offset: int
+    ) -> int:
+        """Not used."""
+        raise NotImplementedError
+
+    async def put(self, topic: str, key: str, value: bytes) -> int:
+        """Not used."""
+        raise NotImplementedError
+
+    def forget_connections(self) -> None:
+        """Nothing to forget."""
+
+
+class Believer:
+    """Keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.directory = directory.Directory()
+        self.plans: list[plan.Plan] = []
+
+    def adopt(self, found: plan.Plan) -> None:
+        """Keep a plan."""
+        self.plans.append(found)
+
+
+class Scene:
+    """Feeds over a fake store."""
+
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.clock = clock.ManualClock(start=clock.EPOCH)
+        self.believer = Believer()
+        platform = ports.Platform(
+            store=self.store,
+            plan_topic='plans',
+            plan_key='plan',
+            decode_plan=decode_plan,
+            endpoint_topic='endpoints',
+            decode_listing=decode_listing,
+            engine=None,  # type: ignore[arg-type]
+        )
+        self.feeds = feeds.Feeds(
+            platform=platform, believer=self.believer, clock=self.clock
+        )
+
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.advance_to(self.clock.now() + seconds * SECOND)
+
+    def read_list(self, page: ports.Page | None) -> None:
+        """Read the list once."""
+        self.store.pages = [page]
+        try:
+            asyncio.run(self.feeds._list_once())
+        except ports.StoreUnavailable as exc:
+            self.feeds._failed('list', exc)
+        self.feeds._settle()
+
+    def read_plan(self, page: ports.Page) -> None:
+        """Read the plan once."""
+        self.store.pages = [page]
+        asyncio.run(self.feeds._plan_once())
+
+    def routable(self) -> list[str]:
+        """Return which endpoints may get a request."""
+        now = self.clock.now()
+        found = self.believer.directory.routable('s', now)
+        return sorted(e.name for e in found)
+
+
+def decode_plan(value: bytes) -> plan.Plan:
+    """Decode a plan that is only a number."""
+    return plan.Plan(
+        version=int(value),
+        routes=(),
+        services={},
+        limits=plan.DEFAULT_LIMITS,
+        organisations=(),
+    )
+
+
+def decode_listing(name: str, value: bytes) -> directory.Listing:
+    """Decode a listing that is only a state."""
+    return directory.Listing(
+        name=name,
+        service='s',
+        host='h',
+        port=1,
+        zone='z',
+        capacity=4,
+        draining=value == b'draining',
+    )
+
+
+def page(
+    *records: tuple[int, str, bytes | None], end: int | None = None
+) -> ports.Page:
+    """Return a page of records."""
+    found = tuple(
+        ports.Record(offset=o, key=k, value=v) for o, k, v in records
+    )
+    last = max((o for o, _, _ in records), default=-1) + 1
+    return ports.Page(records=found, end=last if end is None else end)
+
+
+def begun() -> Scene:
+    """Return a scene that knows endpoints a and b."""
+    scene = Scene()
+    scene.read_list(page((0, 'a', b'ready'), (1, 'b', b'ready')))
+    assert scene.routable() == ['a', 'b']
+    return scene
+
+
+def test_leaving_is_for_ever() -> None:
+    """An old reading that says otherwise changes nothing."""
+    scene = begun()
+    scene.read_list(page((2, 'a', b'draining')))
+    assert scene.routable() == ['b']
+    scene.feeds._list_offset = None
+    scene.read_list(page((0, 'a', b'ready'), (1, 'b', b'ready'), end=2))
+    scene.read_list(page((3, 'a', b'ready')))
+    assert scene.routable() == ['b']
+
+
+def test_a_removed_endpoint_does_not_return_by_an_old_reading() -> None:
+    """Only a newer record brings it back."""
+    scene = begun()
+    scene.read_list(page((2, 'a', None)))
+    assert scene.routable() == ['b']
+    scene.feeds._list_offset = None
+    scene.read_list(page((0, 'a', b'ready'), (1, 'b', b'ready'), end=2))
+    assert scene.routable() == ['b']
+
+
+def test_an_entry_that_lapsed_in_an_outage_stays_in_use() -> None:
+    """Until two seconds after the store's return."""
+    scene = begun()
+    scene.read_list(None)
+    scene.wait(4)
+    scene.read_list(None)
+    scene.wait(0.2)
+    scene.read_list(page((2, 'a', None)))
+    assert scene.routable() == ['a', 'b']
+    scene.wait(1)
+    scene.read_list(page((3, 'a', b'ready')))
+    scene.wait(3)
+    scene.read_list(page(end=4))
+    assert scene.routable() == ['a', 'b']
+
+
+def test_an_entry_still_missing_after_the_return_is_gone() -> None:
+    """Its endpoint is dead."""
+    scene = begun()
+    scene.read_list(None)
+    scene.wait(0.2)
+    scene.read_list(page((2, 'a', None)))
+    assert scene.routable() == ['a', 'b']
+    scene.wait(2.1)
+    scene.read_list(page(end=3))
+    assert scene.routable() == ['b']
+
+
+def test_a_draining_endpoint_that_lapses_is_not_revived() -> None:
+    """What was learnt as leaving goes before the grace."""
+    scene = begun()
+    scene.read_list(page((2, 'a', b'draining')))
+    scene.read_list(None)
+    scene.wait(0.2)
+    scene.read_list(page((3, 'a', None)))
+    assert scene.routable() == ['b']
+
+
+def test_a_whole_reading_removes_what_it_lacks() -> None:
+    """After the history was trimmed."""
+    scene = begun()
+    scene.wait(10)
+    scene.store.trimmed = True
+    scene.read_list(page((1, 'b', b'ready'), end=5))
+    assert scene.routable() == ['b']
+
+
+def test_an_old_whole_reading_removes_nothing() -> None:
+    """Its end lies before what was read already."""
+    scene = begun()
+    scene.read_list(page((2, 'c', b'ready')))
+    scene.feeds._check_until = scene.clock.now() + 10 * SECOND
+    scene.read_list(page((0, 'a', b'ready'), end=1))
+    assert scene.routable() == ['a', 'b', 'c']
+
+
+def versions(scene: Scene) -> list[int]:
+    """Return the versions adopted."""
+    return [found.version for found in scene.believer.plans]
+
+
+def test_plans_are_read_in_the_log_s_order() -> None:
+    """Each once; other keys are left out."""
+    scene = Scene()
+    scene.read_plan(page((4, 'plan', b'7')))
+    scene.read_plan(page((5, 'other', b'1'), (6, 'plan', b'9')))
+    scene.read_plan(page((4, 'plan', b'7')))
+    assert versions(scene) == [7, 9]
+
+
+def test_a_bad_plan_does_not_stop_the_reader() -> None:
+    """It is left out, and the next one read."""
+    scene = Scene()
+    scene.read_plan(page((0, 'plan', b'7')))
+    scene.read_plan(page((1, 'plan', b'x'), (2, 'plan', b'8')))
+    assert versions(scene) == [7, 8]
+
+
+def test_after_a_trim_the_newest_plan_is_read() -> None:
+    """And nothing older than what was known."""
+    scene = Scene()
+    scene.read_plan(page((0, 'plan', b'7')))
+    scene.store.trimmed = True
+    scene.read_plan(page())
+    scene.feeds._check_until = None
+    scene.read_plan(page((9, 'plan', b'12'), end=10))
+    assert versions(scene) == [7, 12]
--- /dev/null
+++ b/tests/unit/test_gateway_parts.py
@@ -0,0 +1,461 @@
+"""The gateway's smaller parts, each by its promise."""
+
+import ast
+import datetime
+import json
+import pathlib
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from aspenfold._internal.expertmaps import demand
+from aspenfold._internal.expertmaps import descent
+from aspenfold._internal.expertmaps import planner
+from aspenfold._internal.expertmaps import ranks
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import event_stream
+from aspenfold._internal.gateway import peers
+from aspenfold._internal.gateway import refusal
+from aspenfold._internal.gateway import settings
+from aspenfold._internal.gateway import table
+from aspenfold._internal.kernel import clock
+from aspenfold._internal.leases import contest
+from aspenfold._internal.models import fleet
+from aspenfold._internal.observability import output
+from aspenfold._internal.retries import shared
+from aspenfold.platform import config
+from aspenfold.platform import members
+from aspenfold.platform import settings as platform_settings
+
+SECOND = datetime.timedelta(seconds=1)
+SOURCES = pathlib.Path(__file__).resolve().parents[2] / 'src' / 'aspenfold'
+
+
+# -- event streams -------------------------------------------------------
+
+
+@hypothesis.given(st.data())
+def test_events_pass_whole_however_they_are_cut(data: st.DataObject) -> None:
+    """Every byte comes once, and only up to a whole event."""
+    count = data.draw(st.integers(1, 20))
+    text = b''.join(
+        f'id: {n}\ndata: {"x" * (n % 5)}\n\n'.encode() for n in range(count)
+    )
+    cutter = event_stream.EventCutter()
+    given = b''
+    rest = text
+    while rest:
+        size = data.draw(st.integers(1, len(rest)))
+        part = cutter.feed(rest[:size])
+        assert not part or part.endswith(b'\n\n')
+        given += part
+        rest = rest[size:]
+    assert given == text
+    assert cutter.events == count
+
+
+@hypothesis.given(st.integers(0, 9), st.integers(0, 9))
+def test_a_resumed_stream_repeats_nothing(cut: int, back: int) -> None:
+    """Wherever the next endpoint begins again."""
+    events = [f'id: {n}\ndata: {n}\n\n'.encode() for n in range(1, 11)]
+    cutter = event_stream.EventCutter()
+    given = cutter.feed(b''.join(events[:cut]) + events[cut][:6])
+    cutter.drop_rest()
+    given += cutter.feed(b''.join(events[max(0, cut - back) :]))
+    assert given == b''.join(events)
+
+
+# -- routes and keys -----------------------------------------------------
+
+
+def plan_of(routes: list[dict[str, object]]) -> bytes:
+    """Return a configuration as the platform's bytes."""
+    base = {
+        'kind': 'safe',
+        'timeout_ms': 100,
+        'target_latency_ms': 100,
+        'service': 's',
+    }
+    return json.dumps(
+        {
+            'version': 3,
+            'routes': [{**base, **route} for route in routes],
+            'tenants': [{'name': 'one', 'api_keys': ['k-1', 'k-2']}],
+        }
+    ).encode()
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    """Prefixes end at a slash; hosts ignore case."""
+    routes: list[dict[str, object]] = [
+        {'name': 'a', 'host': 'H.example', 'path_prefix': '/a/'},
+        {'name': 'ab', 'host': 'h.example', 'path_prefix': '/a/b/'},
+        {'name': 'other', 'host': 'o.example', 'path_prefix': '/a/b/c/'},
+    ]
+    found = table.Table(plan=config.decode(plan_of(routes)))
+
+    def name(host: str, path: str) -> str | None:
+        route = found.route(host, path)
+        return route.name if route else None
+
+    assert name('h.example', '/a/b/c/d') == 'ab'
+    assert name('H.EXAMPLE', '/a/bc') == 'a'
+    assert name('h.example', '/a') is None
+    assert name('h.example', 'a/b/') is None
+    assert name('x.example', '/a/') is None
+
+
+def test_keys_name_their_organisation() -> None:
+    """All of its keys, and nothing else."""
+    found = table.Table(plan=config.decode(plan_of([])))
+    for key in (b'k-1', b'k-2'):
+        organisation = found.organisation(key)
+        assert organisation is not None
+        assert organisation.name == 'one'
+    for key in (b'', b'k-', b'k-11', b'K-1'):
+        assert found.organisation(key) is None
+
+
+# -- the platform's records ----------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ('field', 'value'),
+    [
+        ('kind', 'maybe'),
+        ('timeout_ms', 0),
+        ('timeout_ms', 'soon'),
+        ('host', None),
+        ('max_attempts', 'x'),
+    ],
+)
+def test_a_bad_plan_names_its_field(field: str, value: object) -> None:
+    """The error tells the route and the field."""
+    route = {'host': 'h', 'path_prefix': '/', field: value}
+    with pytest.raises(ValueError, match=rf'routes\.0\.{field}'):
+        config.decode(plan_of([route]))
+
+
+@pytest.mark.parametrize(
+    'text', [b'', b'{}', b'[]', b'{"service": "s", "address": "x"}']
+)
+def test_a_bad_listing_is_an_error(text: bytes) -> None:
+    """It never becomes an endpoint."""
+    with pytest.raises(ValueError):
+        members.decode('w', text)
+
+
+def test_settings_name_the_field_that_is_wrong(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Missing fields and bad addresses."""
+    path = tmp_path / 'settings.json'
+    base = {'node': 'n', 'ip': '1.2.3.4', 'zone': 'z'}
+    path.write_text(json.dumps(base))
+    with pytest.raises(Exception, match='platform'):
+        platform_settings.load(str(path))
+    base['platform'] = {'address': 'nowhere'}  # type: ignore[assignment]
+    path.write_text(json.dumps(base))
+    with pytest.raises(Exception, match=r'platform\.address'):
+        platform_settings.load(str(path))
+
+
+def test_only_the_command_line_imports_the_platform() -> None:
+    """The product knows no name of the platform's."""
+    found = set()
+    for path in SOURCES.rglob('*.py'):
+        if path.parent.name == 'platform':
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            module = getattr(node, 'module', None) or ''
+            if module.startswith('aspenfold.platform'):
+                found.add(path.relative_to(SOURCES).as_posix())
+    assert found == {'cli/gateway.py'}
+
+
+def test_wire_names_stand_in_the_platform_folder_only() -> None:
+    """Header names and paths of the platform are decoded there."""
+    names = ('x-aspenfold-', '/api/', 'fencing_token', 'path_prefix"')
+    found = [
+        path.relative_to(SOURCES).as_posix()
+        for path in SOURCES.rglob('*.py')
+        if path.parent.name != 'platform'
+        and any(name in path.read_text().lower() for name in names)
+    ]
+    assert found == []
+
+
+# -- retries -------------------------------------------------------------
+
+
+@hypothesis.given(
+    st.lists(st.sampled_from(['request', 'retry']), max_size=400),
+    st.integers(1, 40),
+)
+def test_retries_of_all_entries_stay_under_the_bound(
+    steps: list[str], entries: int
+) -> None:
+    """In any span of their common history."""
+    slack = 90.0
+    budgets = [
+        shared.SharedBudget(ratio=0.2, slack=slack) for _ in range(entries)
+    ]
+    requests = 0
+    retries = 0
+    for number, step in enumerate(steps):
+        budget = budgets[number % entries]
+        if step == 'request':
+            budget.request()
+            requests += 1
+        elif budget.take():
+            retries += 1
+        assert retries <= 0.2 * requests + slack
+
+
+# -- refusals ------------------------------------------------------------
+
+
+def test_callers_are_never_told_more_than_a_third_of_their_time() -> None:
+    """They would not follow it."""
+    for code in refusal.WAITS:
+        wait = refusal.retry_after(code, 3 * SECOND)
+        assert wait is not None
+        assert datetime.timedelta(0) < wait <= SECOND
+
+
+def test_only_503_promises_that_a_request_has_not_run() -> None:
+    """Codes that say "not run" answer 503, and no others do."""
+    for code, status in refusal.STATUS.items():
+        if status == 503:
+            assert code < 2000
+        if code >= 2000:
+            assert status in (502, 504)
+
+
+# -- leases --------------------------------------------------------------
+
+
+def play_contest(seed: int) -> None:
+    """Let three processes contest a lease over a lossy store."""
+    rng = random.Random(seed)
+    now = clock.EPOCH
+    log: list[contest.Grant] = []
+    players = [
+        contest.Contest(name=f'p{i}', host=f'h{i}', rng=rng) for i in range(3)
+    ]
+    tokens: dict[int, str] = {}
+    for _ in range(2000):
+        now += 0.05 * SECOND
+        player = rng.choice(players)
+        if rng.random() < 0.5:
+            player.read(log[-1] if log else None, len(log), now)
+        wish = player.wish(now)
+        if wish is None or rng.random() < 0.2:
+            continue
+        if wish.end != len(log):
+            player.conflicted(len(log))
+            continue
+        grant = contest.Grant(
+            holder=wish.holder,
+            host=wish.host,
+            token=wish.token,
+            offset=len(log),
+        )
+        log.append(grant)
+        # A token is one holder's, and later ones are higher.
+        assert tokens.setdefault(grant.token, grant.holder) == grant.holder
+        assert grant.token >= max(tokens)
+        if rng.random() < 0.8:
+            player.read(grant, len(log), now)
+    assert len(log) > 5
+
+
+def test_tokens_grow_and_are_never_shared() -> None:
+    """Whatever answers of the store are lost."""
+    for seed in range(30):
+        play_contest(seed)
+
+
+def test_a_restarted_process_takes_its_host_s_lease_at_once() -> None:
+    """Nobody else can; a lapse would only cost time."""
+    rng = random.Random(1)
+    player = contest.Contest(name='h/2', host='h', rng=rng)
+    other = contest.Contest(name='x/1', host='x', rng=rng)
+    grant = contest.Grant(holder='h/1', host='h', token=4, offset=9)
+    for one in (player, other):
+        one.read(grant, 10, clock.EPOCH)
+    soon = clock.EPOCH + contest.JITTER
+    assert other.wish(soon) is None
+    wish = player.wish(soon)
+    assert wish is not None
+    assert wish.token == 11
+
+
+# -- peers ---------------------------------------------------------------
+
+
+def listed(name: str) -> directory.Listing:
+    """Return an endpoint's listing."""
+    return directory.Listing(
+        name=name,
+        service='s',
+        host='h',
+        port=1,
+        zone='z',
+        capacity=4,
+        draining=False,
+    )
+
+
+def gateways() -> tuple[peers.Peers, peers.Peers, directory.Directory]:
+    """Return two gateways that know each other, and the one's members."""
+    roster = {
+        name: settings.TcpAddress(host=f'10.0.0.{i}', port=7)
+        for i, name in enumerate(('g-1', 'g-2'))
+    }
+    made = []
+    for name in ('g-1', 'g-2'):
+        known = directory.Directory()
+        known.listed(listed('w'))
+        one = peers.Peers(host=name, incarnation='i', members=known)
+        one.roster(roster)
+        made.append((one, known))
+    return made[0][0], made[1][0], made[1][1]
+
+
+def test_peers_add_up_what_others_have_in_flight() -> None:
+    """The last word counts; a late or doubled one does not."""
+    one, two, known = gateways()
+    sender = one._members.get('w')
+    here = known.get('w')
+    assert sender is not None
+    assert here is not None
+    now = clock.EPOCH
+    sender.in_flight = 3
+    first = one.datagram(now)
+    sender.in_flight = 1
+    second = one.datagram(now + SECOND)
+    assert first is not None
+    assert second is not None
+    two.heard(first, '10.0.0.0', now)
+    assert here.elsewhere == 3
+    two.heard(second, '10.0.0.0', now)
+    two.heard(first, '10.0.0.0', now)
+    assert here.elsewhere == 1
+    two.forget_silent(now + 3 * SECOND)
+    assert here.elsewhere == 0
+
+
+@pytest.mark.parametrize(
+    ('data', 'sender'),
+    [
+        (b'', '10.0.0.0'),
+        (b'[]', '10.0.0.0'),
+        (b'["g-1","i",1,{"w":"x"}]', '10.0.0.0'),
+        (b'["g-1","i",1,7]', '10.0.0.0'),
+        (b'["g-9","i",1,{"w":1}]', '10.0.0.0'),
+        (b'["g-1","i",1,{"w":1}]', '10.9.9.9'),
+    ],
+)
+def test_datagrams_that_are_none_are_left_out(
+    data: bytes, sender: str
+) -> None:
+    """Also those of a host that is not a gateway's."""
+    _, two, known = gateways()
+    two.heard(data, sender, clock.EPOCH)
+    here = known.get('w')
+    assert here is not None
+    assert here.elsewhere == 0
+    assert two.rejected == 1
+
+
+# -- maps ----------------------------------------------------------------
+
+PRICE = fleet.MapPrice(skew=1.0, moved_weights=1.0, skew_bound=1.05)
+
+
+@hypothesis.given(st.integers(0, 10_000), st.integers(1, 3))
+def test_plans_keep_every_expert_and_every_bound(
+    seed: int, spare: int
+) -> None:
+    """Whatever the demand; and skew never grows."""
+    rng = random.Random(seed)
+    shape = planner.Shape(ranks=8, experts=24, slots_per_rank=4, spare=spare)
+    load = [rng.paretovariate(1.0) for _ in range(24)]
+    current = [[e for e in range(24) if e % 8 == r] for r in range(8)]
+    plan = descent.Descent().plan(shape, load, current, PRICE)
+    assert {e for experts in plan for e in experts} == set(range(24))
+    for before, after in zip(current, plan, strict=True):
+        assert len(after) <= 4
+        assert len(set(after)) == len(after)
+        assert len(set(after) - set(before)) <= spare
+    assert planner.skew(plan, load) <= planner.skew(current, load) + 1e-9
+
+
+def test_one_change_relieves_the_skew_of_map_0() -> None:
+    """At the shape of the users' groups, over several demands."""
+    shape = planner.Shape(ranks=16, experts=64, slots_per_rank=5, spare=2)
+    current = [[e for e in range(64) if e % 16 == r] for r in range(16)]
+    for seed in range(20):
+        load = [1 / (i + 1) ** 1.1 for i in range(64)]
+        random.Random(seed).shuffle(load)
+        plan = descent.Descent().plan(shape, load, current, PRICE)
+        assert planner.skew(plan, load) < 1.25
+
+
+def test_demand_follows_the_newest_counts() -> None:
+    """What was chosen a while ago weighs little."""
+    found = demand.Demand(sets=1, experts=4)
+    now = clock.EPOCH
+    counts = [0, 0, 0, 0]
+
+    def sample(chosen: int) -> None:
+        counts[chosen] += 40_000
+        found.sample(0, ranks.Counts(epoch=1, counts=tuple(counts)), now)
+
+    found.sample(0, ranks.Counts(epoch=1, counts=(0, 0, 0, 0)), now)
+    assert found.loads(now) is None
+    for chosen in (1, 1, 1, 2, 2, 2):
+        now += SECOND
+        sample(chosen)
+    loads = found.loads(now)
+    assert loads is not None
+    assert loads[0][2] > 0.7
+    assert sum(loads[0]) == pytest.approx(1.0)
+
+
+# -- logs ----------------------------------------------------------------
+
+
+def test_lines_are_bounded_and_what_is_left_out_is_told() -> None:
+    """By kind: a flood of one does not silence another."""
+    written: list[bytes] = []
+    now = [0.0]
+
+    def write(data: bytes) -> int:
+        written.append(data)
+        return len(data)
+
+    destination = output.Output(write=write, monotonic=lambda: now[0])
+    for _ in range(1000):
+        destination({'message_type': 'flood'})
+    destination({'message_type': 'rare'})
+    assert len(written) == int(output.BURST) + 1
+    now[0] = 10.0
+    destination({'message_type': 'rare'})
+    assert json.loads(written[-1])['left_out'] == {'flood': 700}
+
+
+def test_output_that_nobody_reads_never_blocks() -> None:
+    """Lines are kept up to a bound, then left out."""
+
+    def write(data: bytes) -> int:
+        raise BlockingIOError
+
+    destination = output.Output(write=write)
+    for number in range(5000):
+        destination({'message_type': str(number), 'text': 'x' * 100})
+    assert len(destination._pending) <= output.MAX_PENDING_BYTES
+    assert destination.left_out > 0
