--- a/src/aspenfold/_internal/gateway/feeds.py
+++ b/src/aspenfold/_internal/gateway/feeds.py
@@ -15,9 +15,10 @@
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
 
-PLAN_WAIT = datetime.timedelta(seconds=3)
-"""Longest waiting read of the plan.  A lost answer costs this much; the
-list's reads notice a cut sooner and end the wait."""
+PLAN_WAIT = datetime.timedelta(milliseconds=1100)
+"""Longest waiting read of the plan.  A plan has to be in force 2 s after
+it was accepted, also if the answer to one read is lost: this, the 0.7 s
+that a call may take beyond its wait, and a new connection."""
 
 LIST_INTERVAL = datetime.timedelta(milliseconds=900)
 """Pace of the list's reads.  An endpoint may be sent to for 2 s after
--- a/src/aspenfold/platform/store.py
+++ b/src/aspenfold/platform/store.py
@@ -13,10 +13,10 @@
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.network import http1_client
 
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.4
 """A store that can be reached accepts within some milliseconds."""
 
-CALL_TIMEOUT_S = 0.9
+CALL_TIMEOUT_S = 0.7
 """The store answers in 4 ms; when slow, in about 60 times that."""
 
 OFFSETS = struct.Struct('>QQ')
