--- a/src/aspenfold/_internal/gateway/feeds.py
+++ b/src/aspenfold/_internal/gateway/feeds.py
@@ -15,10 +15,10 @@
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
 
-PLAN_WAIT = datetime.timedelta(milliseconds=1100)
+PLAN_WAIT = datetime.timedelta(seconds=6)
 """Longest waiting read of the plan.  A plan has to be in force 2 s after
-it was accepted, also if the answer to one read is lost: this, the 0.7 s
-that a call may take beyond its wait, and a new connection."""
+it was accepted; if the answer to this read is lost, a peer's word that
+there is a newer plan ends it within about a second."""
 
 LIST_INTERVAL = datetime.timedelta(milliseconds=900)
 """Pace of the list's reads.  An endpoint may be sent to for 2 s after
@@ -67,6 +67,7 @@
         self._clock = clock
         self._plan_offset: int | None = None
         self._plan_record = -1
+        self._hinted = asyncio.Event()
         self._list_offset: int | None = None
         self._listed_at: dict[str, int] = {}
         self._failed_at: datetime.datetime | None = None
@@ -97,12 +98,41 @@
             self._take_plan(await self._store.newest(topic))
             wait = CHECK_INTERVAL
         try:
-            page = await self._store.read(topic, self._plan_offset, wait)
+            news = await self._read_plan(topic, self._plan_offset, wait)
         except ports.HistoryTrimmed:
             self._trimmed('plan')
             self._plan_offset = None
             return
-        self._take_plan(page)
+        if news is not None:
+            self._take_plan(news)
+
+    async def _read_plan(
+        self, topic: str, offset: int, wait: datetime.timedelta
+    ) -> ports.Page | None:
+        """Read on; None if a peer's word ended the wait."""
+        if self._hinted.is_set():
+            self._hinted.clear()
+            wait = datetime.timedelta(0)
+        reading = asyncio.ensure_future(self._store.read(topic, offset, wait))
+        hint = asyncio.ensure_future(self._hinted.wait())
+        try:
+            await asyncio.wait(
+                {reading, hint}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return reading.result() if reading.done() else None
+        finally:
+            reading.cancel()
+            hint.cancel()
+
+    @property
+    def plan_offset(self) -> int:
+        """The offset of the newest plan that was read, -1 for none."""
+        return self._plan_record
+
+    def hint(self, plan_offset: int) -> None:
+        """A peer has read a plan at ``plan_offset``."""
+        if plan_offset > self._plan_record:
+            self._hinted.set()
 
     def _take_plan(self, page: ports.Page) -> None:
         self._answered()
--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -8,6 +8,7 @@
 
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import group_leader
+from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.leases import contest as contest_module
@@ -43,9 +44,11 @@
         host: str,
         core: core_module.Core,
         platform: ports.Platform,
+        peers: peers_module.Peers,
         rng: random.Random,
     ) -> None:
         self._core = core
+        self._peers = peers
         self._store = platform.store
         self._engine = platform.engine
         self._rng = rng
@@ -93,6 +96,11 @@
 
     async def _turn(self) -> None:
         now = self._core.clock.now()
+        if not self._led and self._peers.leader_heard(now):
+            # What the store has is read again once it falls silent.
+            self._stale = True
+            await asyncio.sleep(TURN.total_seconds())
+            return
         try:
             if self._stale:
                 await self._read_newest()
@@ -175,6 +183,7 @@
             return
         self._stop_leading()
         self._led = token
+        self._peers.token = token
         self._discovered_at = None
         events.emit(
             events.Event.LEADERSHIP,
@@ -245,3 +254,4 @@
             task.cancel()
         self._leaders.clear()
         self._led = 0
+        self._peers.token = 0
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -1,9 +1,13 @@
-"""What other gateways have in flight at each endpoint.
+"""What other gateways have in flight, which plan they know, who leads.
 
 Each gateway tells the others in small datagrams what it has sent where,
 soon after that changes.  Without it a gateway sees a seventh of the
 work and sends its request to a full rank while another has room.
 
+The same datagrams tell how far the sender has read the plan, so that a
+lost answer of the store is noticed, and whether it leads, so that the
+others need not ask the store.
+
 A lost datagram is made good by the next; one that arrives late is left
 out by its number.  Nothing here is needed for an answer to be right.
 """
@@ -36,12 +40,27 @@
 """Largest datagram, under the packet size of common networks."""
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class News:
+    """One gateway's datagram.
+
+    ``counts`` is what it has in flight, by endpoint, ``plan_offset``
+    the offset of the plan that it has in force, ``token`` its lease's if
+    it leads, else 0.
+    """
+
+    host: str
+    incarnation: str
+    number: int
+    counts: dict[str, int]
+    plan_offset: int
+    token: int
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Peer:
-    incarnation: str = ''
-    number: int = 0
+    news: News | None = None
     heard_at: datetime.datetime | None = None
-    counts: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class Peers:
@@ -58,8 +77,10 @@
         self._peers: dict[str, _Peer] = {}
         self._addresses: dict[str, settings.TcpAddress] = {}
         self._sent_at: datetime.datetime | None = None
-        self._sent: dict[str, int] | None = None
+        self._sent: tuple[dict[str, int], int, int] | None = None
         self.rejected = 0
+        self.plan_offset = -1
+        self.token = 0
 
     @property
     def addresses(self) -> abc.Collection[settings.TcpAddress]:
@@ -76,40 +97,59 @@
 
     # -- what others tell ------------------------------------------------
 
-    def heard(self, data: bytes, sender: str, now: datetime.datetime) -> None:
-        """Take a datagram that came from the IP address ``sender``."""
-        message = self._parse(data, sender)
-        if message is None:
+    def heard(
+        self, data: bytes, sender: str, now: datetime.datetime
+    ) -> News | None:
+        """Take a datagram from the IP address ``sender``; return it if new."""
+        news = self._parse(data, sender)
+        if news is None:
             self.rejected += 1
-            return
-        host, incarnation, number, counts = message
-        peer = self._peers.setdefault(host, _Peer())
-        if incarnation == peer.incarnation and number <= peer.number:
-            return
-        peer.incarnation = incarnation
-        peer.number = number
+            return None
+        peer = self._peers.setdefault(news.host, _Peer())
+        last = peer.news
+        known = last is not None and last.incarnation == news.incarnation
+        if last is not None and known and news.number <= last.number:
+            return None
         peer.heard_at = now
-        self._replace(peer, counts)
+        self._count(last, -1)
+        self._count(news, 1)
+        peer.news = news
+        return news
+
+    def leader_heard(self, now: datetime.datetime) -> bool:
+        """Return whether a peer that leads was heard a moment ago."""
+        return any(
+            peer.news.token
+            for peer in self._peers.values()
+            if peer.news is not None
+            and peer.heard_at is not None
+            and now - peer.heard_at <= SILENCE_LIMIT
+        )
 
-    def _parse(
-        self, data: bytes, sender: str
-    ) -> tuple[str, str, int, dict[str, int]] | None:
+    def _parse(self, data: bytes, sender: str) -> News | None:
         try:
-            host, incarnation, number, counts = orjson.loads(data)
+            host, incarnation, number, counts, offset, token = orjson.loads(
+                data
+            )
             address = self._addresses.get(host)
             if address is None or address.host != sender:
                 return None
-            checked = {str(k): max(0, int(v)) for k, v in counts.items()}
-            return str(host), str(incarnation), int(number), checked
+            return News(
+                host=str(host),
+                incarnation=str(incarnation),
+                number=int(number),
+                counts={str(k): max(0, int(v)) for k, v in counts.items()},
+                plan_offset=int(offset),
+                token=int(token),
+            )
         except (ValueError, TypeError, AttributeError):
             return None
 
-    def _replace(self, peer: _Peer, counts: dict[str, int]) -> None:
-        for name, count in peer.counts.items():
-            self._add(name, -count)
-        for name, count in counts.items():
-            self._add(name, count)
-        peer.counts = counts
+    def _count(self, news: News | None, sign: int) -> None:
+        if news is None:
+            return
+        for name, count in news.counts.items():
+            self._add(name, sign * count)
 
     def _add(self, name: str, count: int) -> None:
         endpoint = self._members.get(name)
@@ -120,9 +160,12 @@
         """Leave out what peers told that are not heard any more."""
         for peer in self._peers.values():
             heard = peer.heard_at
-            if heard is not None and now - heard > SILENCE_LIMIT:
-                peer.heard_at = None
-                self._replace(peer, {})
+            if heard is None or now - heard <= SILENCE_LIMIT:
+                continue
+            peer.heard_at = None
+            self._count(peer.news, -1)
+            if peer.news is not None:
+                peer.news.counts = {}
 
     # -- what this gateway tells -----------------------------------------
 
@@ -130,16 +173,16 @@
         """Return the datagram to send to all peers now, if one is due."""
         if not self._addresses:
             return None
-        counts = self._members.in_flight()
+        state = (self._members.in_flight(), self.plan_offset, self.token)
         wait = MIN_INTERVAL + INTERVAL_PER_PEER * len(self._addresses)
-        if counts == self._sent:
+        if state == self._sent:
             wait = REST_INTERVAL
         if self._sent_at is not None and now - self._sent_at < wait:
             return None
         self._sent_at = now
-        self._sent = counts
+        self._sent = state
         self._number += 1
         data = orjson.dumps(
-            [self._host, self._incarnation, self._number, counts]
+            [self._host, self._incarnation, self._number, *state]
         )
         return data if len(data) <= MAX_BYTES else None
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -55,17 +55,18 @@
         self._feeds = feeds_module.Feeds(
             platform=platform, believer=self._core, clock=clock
         )
+        self._peers = peers_module.Peers(
+            host=cfg.name,
+            incarnation=secrets.token_hex(4),
+            members=self._core.directory,
+        )
         self._duty = maps_duty.MapsDuty(
             host=cfg.name,
             core=self._core,
             platform=platform,
+            peers=self._peers,
             rng=random.Random(secrets.randbits(128)),
         )
-        self._peers = peers_module.Peers(
-            host=cfg.name,
-            incarnation=secrets.token_hex(4),
-            members=self._core.directory,
-        )
         self._roster = roster_module.Roster(
             host=cfg.name,
             address=settings.TcpAddress(host=cfg.address, port=cfg.peer_port),
@@ -132,7 +133,9 @@
         """Exchange with the other gateways what is in flight."""
 
         def receive(data: bytes, sender: str) -> None:
-            self._peers.heard(data, sender, self._clock.now())
+            news = self._peers.heard(data, sender, self._clock.now())
+            if news is not None:
+                self._feeds.hint(news.plan_offset)
 
         socket = await datagrams.listen(
             self._cfg.address, self._cfg.peer_port, receive
@@ -141,6 +144,7 @@
             await asyncio.sleep(PEER_TICK_S)
             now = self._clock.now()
             self._peers.forget_silent(now)
+            self._peers.plan_offset = self._feeds.plan_offset
             data = self._peers.datagram(now)
             if data is not None:
                 for address in self._peers.addresses:
--- a/tests/unit/test_gateway_feeds.py
+++ b/tests/unit/test_gateway_feeds.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self.pages: list[ports.Page | None] = []
         self.trimmed = False
+        self.lost = False
 
     async def newest(self, topic: str) -> ports.Page:
         """Give the next page."""
@@ -30,6 +31,8 @@
         if self.trimmed:
             self.trimmed = False
             raise ports.HistoryTrimmed
+        if self.lost:
+            await asyncio.Event().wait()
         return self._next()
 
     def _next(self) -> ports.Page:
@@ -260,3 +263,26 @@
     scene.feeds._check_until = None
     scene.read_plan(page((9, 'plan', b'12'), end=10))
     assert versions(scene) == [7, 12]
+
+
+def test_a_peer_s_word_ends_a_read_whose_answer_was_lost() -> None:
+    """The newer plan is then read at once."""
+
+    async def run() -> None:
+        scene = Scene()
+        scene.store.pages = [page((0, 'plan', b'7'))]
+        await scene.feeds._plan_once()
+        scene.store.lost = True
+        reading = asyncio.ensure_future(scene.feeds._plan_once())
+        await asyncio.sleep(0)
+        scene.feeds.hint(0)
+        await asyncio.sleep(0)
+        assert not reading.done()
+        scene.feeds.hint(4)
+        await reading
+        scene.store.lost = False
+        scene.store.pages = [page((4, 'plan', b'9'))]
+        await scene.feeds._plan_once()
+        assert versions(scene) == [7, 9]
+
+    asyncio.run(run())
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -348,15 +348,26 @@
     assert here.elsewhere == 0
 
 
+def test_a_leader_that_is_heard_needs_no_asking_of_the_store() -> None:
+    """Until it has been silent for a while."""
+    one, two, _ = gateways()
+    one.token = 7
+    data = one.datagram(clock.EPOCH)
+    assert data is not None
+    two.heard(data, '10.0.0.0', clock.EPOCH)
+    assert two.leader_heard(clock.EPOCH + SECOND)
+    assert not two.leader_heard(clock.EPOCH + 3 * SECOND)
+
+
 @pytest.mark.parametrize(
     ('data', 'sender'),
     [
         (b'', '10.0.0.0'),
         (b'[]', '10.0.0.0'),
-        (b'["g-1","i",1,{"w":"x"}]', '10.0.0.0'),
-        (b'["g-1","i",1,7]', '10.0.0.0'),
-        (b'["g-9","i",1,{"w":1}]', '10.0.0.0'),
-        (b'["g-1","i",1,{"w":1}]', '10.9.9.9'),
+        (b'["g-1","i",1,{"w":"x"},0,0]', '10.0.0.0'),
+        (b'["g-1","i",1,7,0,0]', '10.0.0.0'),
+        (b'["g-9","i",1,{"w":1},0,0]', '10.0.0.0'),
+        (b'["g-1","i",1,{"w":1},0,0]', '10.9.9.9'),
     ],
 )
 def test_datagrams_that_are_none_are_left_out(
