--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -23,7 +23,7 @@
 TICK_S = 0.05
 """Pace of the switch's timers, under its shortest, 100 ms."""
 
-SAMPLE_INTERVAL = datetime.timedelta(milliseconds=300)
+SAMPLE_INTERVAL = datetime.timedelta(milliseconds=500)
 """Pace of reading counts, of one rank after the other."""
 
 SAMPLED_RANKS = 2
--- a/src/aspenfold/platform/engine.py
+++ b/src/aspenfold/platform/engine.py
@@ -83,6 +83,7 @@
 
     def __init__(self) -> None:
         self.calls = 0
+        self._idle: dict[tuple[str, int], http1_client.Connection] = {}
 
     async def report(self, host: str, port: int) -> ranks.Report:
         """Return a rank's report, or raise ``ports.EngineSilent``."""
@@ -146,6 +147,9 @@
         if order.new_map:
             message['map'] = order.new_map
         body = orjson.dumps(message)
+        # On a connection of its own, and reports after it on new ones: a
+        # doubled answer to an earlier call must not pass for this one's.
+        self._drop(host, port)
         try:
             status, _ = await self._call(
                 host, port, b'POST', b'/api/order', body
@@ -178,12 +182,15 @@
     async def _exchange(
         self, host: str, port: int, method: bytes, path: bytes, body: bytes
     ) -> tuple[int, bytes]:
-        connection = await http1_client.connect(host, port, CONNECT_TIMEOUT_S)
+        kept = self._idle.pop((host, port), None)
+        if kept is not None and kept.usable:
+            connection = kept
+        else:
+            connection = await http1_client.connect(
+                host, port, CONNECT_TIMEOUT_S
+            )
         try:
-            headers = [
-                (b'host', f'{host}:{port}'.encode()),
-                (b'connection', b'close'),
-            ]
+            headers = [(b'host', f'{host}:{port}'.encode())]
             if body:
                 headers += [
                     (b'content-type', b'application/json'),
@@ -194,6 +201,19 @@
             parts = []
             while (data := await connection.data()) is not None:
                 parts.append(data)
-            return head.status_code, b''.join(parts)
-        finally:
+        except BaseException:
+            connection.close()
+            raise
+        connection.finish()
+        if connection.usable and method == b'GET':
+            self._drop(host, port)
+            self._idle[host, port] = connection
+        else:
             connection.close()
+        return head.status_code, b''.join(parts)
+
+    def _drop(self, host: str, port: int) -> None:
+        """Close the connection that is kept for the next report."""
+        kept = self._idle.pop((host, port), None)
+        if kept is not None:
+            kept.close()
