Weigh ranks by their pace; tell a request's story from the logs

Reports tell it as pace over 1.

Change: the leader asks all ranks for their pace each 2 s, plans maps by load times pace, and tells the gateways, who send less to slow ranks.

'aspenfold trace ID LOG...' reads the logs of several processes.

--- a/src/aspenfold/_internal/expertmaps/descent.py
+++ b/src/aspenfold/_internal/expertmaps/descent.py
@@ -49,7 +49,11 @@
 
 
 class Draft:
-    """A set's placement under change, with its loads kept up to date."""
+    """A set's placement under change, with its loads kept up to date.
+
+    ``paces`` says how much longer each rank takes for the same load; a
+    rank's load counts that much more.
+    """
 
     def __init__(
         self,
@@ -57,6 +61,7 @@
         shape: planner.Shape,
         placement: planner.Placement,
         load: abc.Sequence[float],
+        paces: abc.Sequence[float] = (),
     ) -> None:
         self._shape = shape
         self._load = load
@@ -66,8 +71,10 @@
         for rank, experts in enumerate(self.ranks):
             for expert in experts:
                 self._holders[expert].add(rank)
+        self._paces = list(paces) or [1.0] * shape.ranks
         self.totals = [
-            sum(self._share(e) for e in experts) for experts in self.ranks
+            sum(self._share(e) for e in experts) * pace
+            for experts, pace in zip(self.ranks, self._paces, strict=True)
         ]
         self._mean = max(1e-9, sum(load) / shape.ranks)
 
@@ -77,7 +84,7 @@
         return [sorted(experts) for experts in self.ranks]
 
     def skew(self) -> float:
-        """Return the largest load over the mean."""
+        """Return the largest load, by pace, over the mean without it."""
         return max(self.totals) / self._mean
 
     def improve(self, min_gain: float) -> bool:
@@ -170,6 +177,8 @@
                 add=move.hot if move.leaves else None,
                 drop=move.cold,
             )
+        for rank in change:
+            change[rank] *= self._paces[rank]
         return change
 
     def _respread(
@@ -231,9 +240,10 @@
     load: abc.Sequence[float],
     current: planner.Placement,
     price: fleet.MapPrice,
+    paces: abc.Sequence[float] = (),
 ) -> abc.Iterator[Draft]:
     """Give the draft after each move, so that others can run between."""
-    draft = Draft(shape=shape, placement=current, load=load)
+    draft = Draft(shape=shape, placement=current, load=load, paces=paces)
     yield draft
     limit = int(shape.ranks * shape.slots_per_rank * MAX_MOVES_SHARE)
     min_gain = max(1e-6, MIN_GAIN * price.moved_weights / price.skew)
--- a/src/aspenfold/_internal/expertmaps/ranks.py
+++ b/src/aspenfold/_internal/expertmaps/ranks.py
@@ -28,7 +28,8 @@
 
     ``step`` is the last pass that was begun, ``held`` the pass that the
     group does not begin until it is released, ``prepared`` the version
-    whose experts are all copied.
+    whose experts are all copied.  ``pace`` over 1 means that the rank
+    takes so much longer for its work.
     """
 
     group: str
@@ -41,6 +42,7 @@
     prepared: int | None
     armed: Armed | None
     held: int | None
+    pace: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -59,7 +59,8 @@
     """One incarnation of an endpoint, and what gateways sent it.
 
     ``in_flight`` is this gateway's own, ``elsewhere`` what its peers
-    told of theirs, ``load`` the endpoint's word on all of it.
+    told of theirs, ``load`` the endpoint's word on all of it.  It takes
+    ``pace`` times as long for its work as others do.
     """
 
     listing: Listing
@@ -71,6 +72,7 @@
     load: Load | None = None
     in_flight_at_load: int = 0
     elsewhere: int = 0
+    pace: float = 1.0
 
     @property
     def name(self) -> str:
@@ -89,7 +91,7 @@
         if self.load is not None and not self.elsewhere:
             told = self.load.running + self.load.waiting
             seen = max(seen, told + self.in_flight - self.in_flight_at_load)
-        return seen / self.listing.capacity
+        return seen * self.pace / self.listing.capacity
 
     @property
     def has_room(self) -> bool:
@@ -128,6 +130,11 @@
             if e.in_flight
         }
 
+    def take_paces(self, paces: abc.Mapping[str, float]) -> None:
+        """Take which endpoints are slow, and how much; others are not."""
+        for endpoint in self._endpoints.values():
+            endpoint.pace = paces.get(endpoint.name, 1.0)
+
     def names(self) -> list[str]:
         """Return the names of all known endpoints."""
         return list(self._endpoints)
--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -14,6 +14,7 @@
 from aspenfold._internal.expertmaps import ranks
 from aspenfold._internal.expertmaps import switch as switch_module
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.kernel import clock as clock_module
@@ -30,6 +31,13 @@
 """Ranks whose counts are read; requests are dealt at random, so these
 stand for all."""
 
+PACE_INTERVAL = datetime.timedelta(seconds=2)
+"""How often all ranks are asked how fast they are: a rank that turns
+slow holds back all, and each asking costs a probe a rank."""
+
+SLOW_PACE = 1.2
+"""A rank is told as slow from here; less is within a report's noise."""
+
 FIND_INTERVAL = datetime.timedelta(milliseconds=500)
 """Wait between two searches for the ranks of a broken group."""
 
@@ -57,6 +65,7 @@
         members: directory.Directory,
         engine: ports.Engine,
         clock: clock_module.Clock,
+        peers: peers_module.Peers,
     ) -> None:
         self._service = service
         self._group = group
@@ -65,6 +74,7 @@
         self._members = members
         self._engine = engine
         self._clock = clock
+        self._peers = peers
         self._switch: switch_module.Switch | None = None
         self._endpoints: dict[int, directory.Endpoint] = {}
         self._map: ranks.Map = ()
@@ -73,6 +83,8 @@
             sets=shape.sets, experts=shape.experts
         )
         self._sample_turn = 0
+        self._paces: dict[int, float] = {}
+        self._paced_at: datetime.datetime | None = None
         self._sampled_at: datetime.datetime | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.fenced = False
@@ -208,7 +220,8 @@
         if switch.version == switch.token and self._next_map:
             self._map = self._next_map
         self._next_map = ()
-        self._perform(switch, [switch_module.Ask(rank=switch_module.HOLDER)])
+        self._perform(switch, self._asks(now))
+        self._tell_paces()
         new_map = await self._plan()
         if new_map is None or not switch.ready:
             return
@@ -216,6 +229,28 @@
         self.changes += 1
         self._perform(switch, switch.start(new_map, self._clock.now()))
 
+    def _asks(self, now: datetime.datetime) -> list[switch_module.Action]:
+        """Ask the rank that may be held, and at times all for their pace."""
+        last = self._paced_at
+        if last is not None and now - last < PACE_INTERVAL:
+            return [switch_module.Ask(rank=switch_module.HOLDER)]
+        self._paced_at = now
+        return [switch_module.Ask(rank=rank) for rank in self._endpoints]
+
+    def _tell_paces(self) -> None:
+        """Let all gateways send less to ranks that are slow."""
+        paces = {
+            self._endpoints[rank].name: round(pace, 2)
+            for rank, pace in self._paces.items()
+            if pace >= SLOW_PACE and rank in self._endpoints
+        }
+        if paces != self._peers.paces:
+            self._peers.paces = paces
+            self._members.take_paces(paces)
+            events.emit(
+                events.Event.RANKS_SLOW, group=self._group, paces=paces
+            )
+
     async def _sample(self, rank: int) -> None:
         listing = self._endpoints[rank].listing
         try:
@@ -235,6 +270,7 @@
             slots_per_rank=self._shape.slots_per_rank,
             spare=self._shape.spare,
         )
+        paces = [self._paces.get(r, 1.0) for r in sorted(self._endpoints)]
         before = 0.0
         after = 0.0
         moved = 0
@@ -242,12 +278,14 @@
         for load, current in zip(loads, self._map, strict=True):
             old = [list(experts) for experts in current]
             new = old
-            for draft in descent.steps(shape, load, old, PRICE):
+            skews = []
+            for draft in descent.steps(shape, load, old, PRICE, paces):
                 new = draft.placement
+                skews.append(draft.skew())
                 # Requests are answered between the moves.
                 await asyncio.sleep(0)
-            before += planner.skew(old, load)
-            after += planner.skew(new, load)
+            before += skews[0]
+            after += skews[-1]
             moved += planner.moved(old, new)
             sets.append(tuple(tuple(experts) for experts in new))
         gain = (before - after) / len(sets)
@@ -285,6 +323,7 @@
             )
             if report is None or self._switch is not switch:
                 return
+            self._paces[report.rank] = report.pace
             more = switch.reported(report, self._clock.now())
         else:
             answer = await self._engine.order(
--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -245,6 +245,7 @@
             members=self._core.directory,
             engine=self._engine,
             clock=self._core.clock,
+            peers=self._peers,
         )
         task = asyncio.create_task(leader.run())
         self._leaders[service, group] = leader, task
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -46,7 +46,7 @@
 
     ``counts`` is what it has in flight, by endpoint, ``plan_offset``
     the offset of the plan that it has in force, ``token`` its lease's if
-    it leads, else 0.
+    it leads, else 0.  A leader tells the ``paces`` of slow endpoints.
     """
 
     host: str
@@ -55,6 +55,7 @@
     counts: dict[str, int]
     plan_offset: int
     token: int
+    paces: dict[str, float]
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -77,10 +78,11 @@
         self._peers: dict[str, _Peer] = {}
         self._addresses: dict[str, settings.TcpAddress] = {}
         self._sent_at: datetime.datetime | None = None
-        self._sent: tuple[dict[str, int], int, int] | None = None
+        self._sent: tuple[object, ...] | None = None
         self.rejected = 0
         self.plan_offset = -1
         self.token = 0
+        self.paces: dict[str, float] = {}
 
     @property
     def addresses(self) -> abc.Collection[settings.TcpAddress]:
@@ -114,6 +116,8 @@
         self._count(last, -1)
         self._count(news, 1)
         peer.news = news
+        if news.token:
+            self._members.take_paces(news.paces)
         return news
 
     def leader_heard(self, now: datetime.datetime) -> bool:
@@ -128,9 +132,8 @@
 
     def _parse(self, data: bytes, sender: str) -> News | None:
         try:
-            host, incarnation, number, counts, offset, token = orjson.loads(
-                data
-            )
+            host, incarnation, number, counts, *rest = orjson.loads(data)
+            offset, token, paces = rest
             address = self._addresses.get(host)
             if address is None or address.host != sender:
                 return None
@@ -141,6 +144,7 @@
                 counts={str(k): max(0, int(v)) for k, v in counts.items()},
                 plan_offset=int(offset),
                 token=int(token),
+                paces={str(k): max(1.0, float(v)) for k, v in paces.items()},
             )
         except (ValueError, TypeError, AttributeError):
             return None
@@ -173,7 +177,12 @@
         """Return the datagram to send to all peers now, if one is due."""
         if not self._addresses:
             return None
-        state = (self._members.in_flight(), self.plan_offset, self.token)
+        state = (
+            self._members.in_flight(),
+            self.plan_offset,
+            self.token,
+            self.paces if self.token else {},
+        )
         wait = MIN_INTERVAL + INTERVAL_PER_PEER * len(self._addresses)
         if state == self._sent:
             wait = REST_INTERVAL
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -52,6 +52,7 @@
     MAP_PLANNED = 605
     SWITCH_MOVED = 606
     LEASE_UNSURE = 607
+    RANKS_SLOW = 608
     LOG_LOST = 700
     LOG_BACK = 701
     HOST_LIST_LOST = 702
@@ -92,6 +93,7 @@
     Event.MAP_PLANNED: 'a leader begins to change a map',
     Event.SWITCH_MOVED: 'a change of map has come to its next state',
     Event.LEASE_UNSURE: 'a lease could not be read or written',
+    Event.RANKS_SLOW: 'a leader found ranks slow, or none any more',
     Event.LOG_LOST: 'the log service does not answer',
     Event.LOG_BACK: 'the log service answers again',
     Event.HOST_LIST_LOST: 'the host list does not answer',
--- a/src/aspenfold/cli/operator.py
+++ b/src/aspenfold/cli/operator.py
@@ -15,6 +15,7 @@
 from aspenfold._internal.commands import member as member_module
 from aspenfold._internal.commands import output
 from aspenfold._internal.commands import platform as platform_module
+from aspenfold._internal.commands import trace as trace_module
 from aspenfold._internal.models import fleet
 from aspenfold._internal.models import settings as settings_module
 
@@ -152,6 +153,19 @@
             )
         )
 
+    def trace(
+        self, request_id: str, *log_files: str, json: bool = False
+    ) -> None:
+        """Tell one request's story from the logs of several processes.
+
+        Example: aspenfold trace 9c41d07be2a35f68 gateway-*.log
+        """
+        _finish(
+            lambda: trace_module.TraceCommand().run(
+                str(request_id), log_files, as_json=json
+            )
+        )
+
     def _member(
         self,
         endpoint: str,
--- a/src/aspenfold/platform/engine.py
+++ b/src/aspenfold/platform/engine.py
@@ -16,6 +16,9 @@
 """Engines answer in a few milliseconds, or, when orders are late,
 never."""
 
+MIN_PACE = 0.1
+"""A faster rank than this is taken to report nonsense."""
+
 OP_NAMES = {
     ranks.Op.PREPARE: 'prepare',
     ranks.Op.ARM: 'arm',
@@ -52,6 +55,8 @@
     group: _Group
     # Ranks in the group, not requests.
     size: int
+    # How much longer the rank's work takes than it should.
+    pace: float = 1.0
     # The last pass that was begun.
     step: int
     map: int
@@ -108,6 +113,7 @@
             prepared=found.prepared,
             armed=armed,
             held=found.held,
+            pace=max(MIN_PACE, found.pace),
         )
 
     async def counts(self, host: str, port: int) -> ranks.Counts:
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -348,6 +348,32 @@
     assert here.elsewhere == 0
 
 
+def test_a_slow_rank_is_told_to_all_gateways() -> None:
+    """It counts as fuller, until the leader says that it is not slow."""
+    one, two, known = gateways()
+    here = known.get('w')
+    assert here is not None
+    here.in_flight = 2
+    one.token = 7
+    for number, (paces, pressure) in enumerate([({'w': 3.0}, 1.5), ({}, 0.5)]):
+        one.paces = paces
+        data = one.datagram(clock.EPOCH + number * SECOND)
+        assert data is not None
+        two.heard(data, '10.0.0.0', clock.EPOCH)
+        assert here.pressure == pressure
+
+
+def test_a_slow_rank_gets_fewer_experts() -> None:
+    """Its load counts by its pace."""
+    shape = planner.Shape(ranks=8, experts=24, slots_per_rank=4, spare=2)
+    load = [1.0] * 24
+    current = [[e for e in range(24) if e % 8 == r] for r in range(8)]
+    paces = [3.0] + [1.0] * 7
+    draft = list(descent.steps(shape, load, current, PRICE, paces))
+    assert draft[-1].skew() < 2.0
+    assert planner.rank_loads(draft[-1].placement, load)[0] < 2.0
+
+
 def test_a_leader_that_is_heard_needs_no_asking_of_the_store() -> None:
     """Until it has been silent for a while."""
     one, two, _ = gateways()
@@ -364,10 +390,10 @@
     [
         (b'', '10.0.0.0'),
         (b'[]', '10.0.0.0'),
-        (b'["g-1","i",1,{"w":"x"},0,0]', '10.0.0.0'),
-        (b'["g-1","i",1,7,0,0]', '10.0.0.0'),
-        (b'["g-9","i",1,{"w":1},0,0]', '10.0.0.0'),
-        (b'["g-1","i",1,{"w":1},0,0]', '10.9.9.9'),
+        (b'["g-1","i",1,{"w":"x"},0,0,{}]', '10.0.0.0'),
+        (b'["g-1","i",1,7,0,0,{}]', '10.0.0.0'),
+        (b'["g-9","i",1,{"w":1},0,0,{}]', '10.0.0.0'),
+        (b'["g-1","i",1,{"w":1},0,0,{}]', '10.9.9.9'),
     ],
 )
 def test_datagrams_that_are_none_are_left_out(
