--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -15,10 +15,6 @@
 """How long an endpoint that refused a connection is passed over: about
 one reading of the list, which then tells whether it is gone."""
 
-LEAVING_HINT_PAUSE = datetime.timedelta(seconds=1.3)
-"""How long one that closes its connections is passed over.  Some do so
-without leaving; those that leave are marked on the list by then."""
-
 FAILURE_PAUSE = datetime.timedelta(milliseconds=500)
 """First pause of an endpoint whose last answers were failures."""
 
@@ -208,12 +204,6 @@
         """It refused a connection or did not answer one."""
         self._pause(endpoint, now + UNREACHABLE_PAUSE, 'unreachable')
 
-    def hinted_leaving(
-        self, endpoint: Endpoint, now: datetime.datetime
-    ) -> None:
-        """It closes its connections, which those that leave do."""
-        self._pause(endpoint, now + LEAVING_HINT_PAUSE, 'closing')
-
     def failed(self, endpoint: Endpoint, now: datetime.datetime) -> None:
         """A request there was lost or answered with a failure."""
         endpoint.failures += 1
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -137,9 +137,13 @@
                 return
             end = await self._attempt(history, endpoint)
             budget = self._core.budget(self._service)
-            step = outcome.after(history, end, budget=budget.left >= 1)
+            # What no endpoint got yet is not sent *again*.
+            free = history.sent == 0
+            allowed = free or budget.left >= 1
+            step = outcome.after(history, end, budget=allowed)
             if step is outcome.Step.AGAIN:
-                budget.take()
+                if not free:
+                    budget.take()
                 self._tried.add(endpoint.name)
                 self._log_again(history, endpoint, end)
                 continue
--- a/src/aspenfold/_internal/gateway/settings.py
+++ b/src/aspenfold/_internal/gateway/settings.py
@@ -19,12 +19,10 @@
     """Settings of one process; durations are in seconds.
 
     Gateways exchange datagrams at ``peer_port``, the same on all hosts.
-    ``callers`` and ``health`` are None on hosts without callers,
-    ``local_endpoint`` is None on hosts without an endpoint.  After
-    SIGTERM a process has ``grace_s`` to end.  In each
-    ``retry_window_s`` all gateways together may send ``retry_ratio``
-    of the requests, plus ``retry_slack``, again.  Work that depends on
-    a dead rank stalls for ``stall_s`` before its endpoint cuts it off.
+    ``callers`` and ``health`` are None on hosts without callers.  After
+    SIGTERM a process has ``grace_s`` to end.  In each window that the
+    platform watches all gateways together may send ``retry_ratio`` of
+    the requests, plus ``retry_slack``, again.
     """
 
     name: str
@@ -35,12 +33,6 @@
     health: TcpAddress | None
     metrics: TcpAddress
     store: TcpAddress
-    local_endpoint: TcpAddress | None
-    local_service: str
-    memory_mb: int
     grace_s: float
     retry_ratio: float
-    retry_window_s: float
     retry_slack: float
-    stall_s: float
-    heartbeat_s: float
--- a/src/aspenfold/_internal/network/http1_client.py
+++ b/src/aspenfold/_internal/network/http1_client.py
@@ -129,6 +129,25 @@
             return None
         raise ConnectionLost(f'unexpected {event!r:.60}')
 
+    async def whole(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> tuple[int, bytes]:
+        """Send a request; return its answer's status and whole body.
+
+        The connection is closed if that fails, else ready for the next.
+        """
+        try:
+            self.send(method, target, headers, body)
+            head = await self.head()
+            parts = []
+            while (data := await self.data()) is not None:
+                parts.append(data)
+        except BaseException:
+            self.close()
+            raise
+        self.finish()
+        return head.status_code, b''.join(parts)
+
     def finish(self) -> None:
         """Make the connection ready for the next request, if it can be."""
         if (
--- a/src/aspenfold/platform/engine.py
+++ b/src/aspenfold/platform/engine.py
@@ -195,28 +195,19 @@
             connection = await http1_client.connect(
                 host, port, CONNECT_TIMEOUT_S
             )
-        try:
-            headers = [(b'host', f'{host}:{port}'.encode())]
-            if body:
-                headers += [
-                    (b'content-type', b'application/json'),
-                    (b'content-length', str(len(body)).encode()),
-                ]
-            connection.send(method, path, headers, body)
-            head = await connection.head()
-            parts = []
-            while (data := await connection.data()) is not None:
-                parts.append(data)
-        except BaseException:
-            connection.close()
-            raise
-        connection.finish()
+        headers = [(b'host', f'{host}:{port}'.encode())]
+        if body:
+            headers += [
+                (b'content-type', b'application/json'),
+                (b'content-length', str(len(body)).encode()),
+            ]
+        answer = await connection.whole(method, path, headers, body)
         if connection.usable and method == b'GET':
             self._drop(host, port)
             self._idle[host, port] = connection
         else:
             connection.close()
-        return head.status_code, b''.join(parts)
+        return answer
 
     def _drop(self, host: str, port: int) -> None:
         """Close the connection that is kept for the next report."""
--- a/src/aspenfold/platform/settings.py
+++ b/src/aspenfold/platform/settings.py
@@ -29,18 +29,10 @@
     ready: str = ''
 
 
-class _Limits(_Border):
-    memory_mb: int = 300
-    max_fds: int = 1024
-
-
 class _Bounds(_Border):
     grace_s: float = 8
-    drain_ms: float = 2000
     retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10
     retry_budget_slack: float = 90
-    stall_ms: float = 1500
 
 
 class _Store(_Border):
@@ -54,13 +46,8 @@
     listen: _Listen = _Listen()
     # The first and the last port that our own processes may use.
     internal_port_range: tuple[int, int] = (0, 0)
-    limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     platform: _Store
-    # The endpoint on the same host, and its service.
-    app: str = ''
-    service: str = ''
-    heartbeat_ms: float = 1200
 
 
 def path() -> str:
@@ -92,15 +79,9 @@
         health=_address(found.listen.ready, 'listen.ready'),
         metrics=settings.TcpAddress(host=found.ip, port=METRICS_PORT),
         store=_required(found.platform.address, 'platform.address'),
-        local_endpoint=_address(found.app, 'app'),
-        local_service=found.service,
-        memory_mb=found.limits.memory_mb,
         grace_s=found.bounds.grace_s,
         retry_ratio=found.bounds.retry_budget_ratio,
-        retry_window_s=found.bounds.budget_window_s,
         retry_slack=found.bounds.retry_budget_slack,
-        stall_s=found.bounds.stall_ms / 1000,
-        heartbeat_s=found.heartbeat_ms / 1000,
     )
 
 
--- a/src/aspenfold/platform/store.py
+++ b/src/aspenfold/platform/store.py
@@ -151,27 +151,21 @@
     ) -> tuple[int, bytes]:
         connection = await self._connection()
         self._busy.add(connection)
+        headers = [
+            (b'host', str(self._address).encode()),
+            (b'content-length', str(len(body)).encode()),
+        ]
         try:
-            headers = [
-                (b'host', str(self._address).encode()),
-                (b'content-length', str(len(body)).encode()),
-            ]
-            connection.send(method, target.encode(), headers, body)
-            head = await connection.head()
-            parts = []
-            while (data := await connection.data()) is not None:
-                parts.append(data)
-        except BaseException:
-            connection.close()
-            raise
+            answer = await connection.whole(
+                method, target.encode(), headers, body
+            )
         finally:
             self._busy.discard(connection)
-        connection.finish()
         if connection.usable and len(self._idle) < IDLE_KEPT:
             self._idle.append(connection)
         else:
             connection.close()
-        return head.status_code, b''.join(parts)
+        return answer
 
     async def _connection(self) -> http1_client.Connection:
         while self._idle:
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -184,6 +184,21 @@
     play(scene)
 
 
+def test_connections_that_fail_cost_no_retry() -> None:
+    """No endpoint got anything, so nothing is sent again."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        shut, _ = await two(rig, workers.whole, workers.whole)
+        await shut.stop()
+        budget = rig.process._core.budget('plain')
+        while budget.take():
+            pass
+        for _ in range(6):
+            assert (await rig.ask('/unsafe/', body='x')).status == 200
+
+    play(scene)
+
+
 def test_attempts_are_bounded_by_the_route() -> None:
     """With one attempt allowed a refusal is the answer, and it is true."""
 
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -124,15 +124,9 @@
             health=anywhere,
             metrics=anywhere,
             store=settings.TcpAddress(host=LOOPBACK, port=self.store.port),
-            local_endpoint=None,
-            local_service='',
-            memory_mb=300,
             grace_s=2.0,
             retry_ratio=0.2,
-            retry_window_s=10.0,
             retry_slack=90.0,
-            stall_s=1.5,
-            heartbeat_s=1.2,
         )
         platform = ports.Platform(
             store=store.StoreClient(address=cfg.store),
