--- a/bench/main.py
+++ b/bench/main.py
@@ -7,13 +7,14 @@
 import fire
 
 from bench import entry_edge
+from bench import gateway
 from bench import load
 from bench import maps
 from bench import recovery
 from bench import report
 from bench import scale
 
-MODULES = (load, maps, scale, recovery, entry_edge)
+MODULES = (load, maps, scale, recovery, gateway, entry_edge)
 """Importing these modules registered their measurements."""
 
 
