--- /dev/null
+++ b/tests/functional/test_gateway_program.py
@@ -0,0 +1,150 @@
+"""``aspenfold-gateway`` as a process: settings, signals, logs, metrics."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+from aspenfold_standins import platform_worker as workers
+import pytest
+
+from aspenfold._internal.commands import exits
+from aspenfold.platform import settings
+from tests.lib import gateway_rig as rigs
+
+ADDRESS = '127.0.0.9'
+"""An address of its own, since the metrics port is fixed."""
+
+PROGRAM = [
+    sys.executable,
+    '-c',
+    'from aspenfold.cli import gateway; gateway.main()',
+]
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.create_server((ADDRESS, 0)) as found:
+        return int(found.getsockname()[1])
+
+
+def environment(path: pathlib.Path) -> dict[str, str]:
+    """Return the environment with the settings file's path."""
+    return {**os.environ, settings.VARIABLE: str(path)}
+
+
+async def get(port: int, path: str) -> tuple[int, bytes]:
+    """Ask an address of the process."""
+    reader, writer = await asyncio.open_connection(ADDRESS, port)
+    writer.write(f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+    answer = await rigs.read_answer(reader)
+    writer.close()
+    return answer.status, answer.body
+
+
+async def wait_ready(port: int) -> None:
+    """Wait until the process says that it can serve."""
+    async with asyncio.timeout(rigs.WAIT_S):
+        while True:
+            try:
+                if (await get(port, '/api/ready'))[0] == 200:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
+
+
+async def play(tmp_path: pathlib.Path) -> tuple[int, str]:
+    """Run the program through a stream and both signals, to its end."""
+    rig = rigs.Rig()
+    await rig.store.start()
+    await rig.configure(rigs.plan())
+    worker = await rig.add_worker('w-1', workers.stream)
+    worker.gap_s = 0.05
+    callers, health = free_port(), free_port()
+    path = tmp_path / 'settings.json'
+    path.write_text(
+        json.dumps(
+            {
+                'node': 'gateway-1',
+                'ip': ADDRESS,
+                'zone': 'zone-a',
+                'listen': {
+                    'front': f'{ADDRESS}:{callers}',
+                    'ready': f'{ADDRESS}:{health}',
+                },
+                'internal_port_range': [free_port(), free_port()],
+                'bounds': {'grace_s': 3},
+                'platform': {'address': f'127.0.0.1:{rig.store.port}'},
+            }
+        )
+    )
+    process = await asyncio.create_subprocess_exec(
+        *PROGRAM, env=environment(path), stdout=subprocess.PIPE
+    )
+    try:
+        await wait_ready(health)
+        status, text = await get(settings.METRICS_PORT, '/metrics')
+        assert status == 200
+        assert b'aspenfold_in_flight' in text
+        process.send_signal(signal.SIGHUP)
+        reader, writer = await asyncio.open_connection(ADDRESS, callers)
+        writer.write(rig.head('/stream/')[1])
+        await rigs.until(lambda: worker.runs)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGTERM)
+        answer = await rigs.read_answer(reader)
+        assert answer.whole
+        assert answer.body.count(b'data:') == worker.events
+        output, _ = await asyncio.wait_for(process.communicate(), rigs.WAIT_S)
+        return process.returncode or 0, output.decode()
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        await worker.stop()
+        await rig.store.stop()
+
+
+def test_the_program_serves_reloads_and_ends(tmp_path: pathlib.Path) -> None:
+    """Both SIGTERMs are one; the stream in flight comes whole."""
+    status, output = asyncio.run(play(tmp_path))
+    assert status == 0
+    lines = [json.loads(line) for line in output.splitlines()]
+    order = [line['event'] for line in lines]
+    for event in (100, 404, 502, 300, 105, 101, 201, 102):
+        assert event in order, event
+    assert order.index(100) < order.index(101) < order.index(102)
+    assert order.count(101) == 1
+    assert rigs.KEY not in output
+
+
+@pytest.mark.parametrize(
+    ('text', 'field'),
+    [
+        (None, settings.VARIABLE),
+        ('{"node": "n", "ip": "127.0.0.9"}', 'zone'),
+        ('not json', 'settings.json'),
+    ],
+)
+def test_bad_settings_end_it_with_the_field(
+    tmp_path: pathlib.Path, text: str | None, field: str
+) -> None:
+    """And with what to do."""
+    path = tmp_path / 'settings.json'
+    env = environment(path)
+    if text is None:
+        del env[settings.VARIABLE]
+    else:
+        path.write_text(text)
+    ended = subprocess.run(
+        PROGRAM, env=env, capture_output=True, text=True, timeout=30
+    )
+    assert ended.returncode == exits.Exit.USAGE
+    assert '[5000]' in ended.stderr
+    assert field in ended.stderr
+    assert 'try:' in ended.stderr
