--- a/src/aspenfold/_internal/leases/duties.py
+++ b/src/aspenfold/_internal/leases/duties.py
@@ -10,6 +10,7 @@
 
 from aspenfold._internal.configuration import fold
 from aspenfold._internal.configuration import state as state_module
+from aspenfold._internal.expertmaps import descent
 from aspenfold._internal.expertmaps import planner
 from aspenfold._internal.expertmaps import sticky
 from aspenfold._internal.kernel import registry
@@ -28,7 +29,7 @@
 HYSTERESIS = 1.02
 """How far over its bound skew must be before a new plan is made."""
 
-PLUGINS = (sticky,)
+PLUGINS = (descent, sticky)
 """Importing this module registered its planners."""
 
 RETRY = datetime.timedelta(seconds=1)
--- a/src/aspenfold/_internal/models/fleet.py
+++ b/src/aspenfold/_internal/models/fleet.py
@@ -12,10 +12,12 @@
 """Matches every value in a rule."""
 
 
-RoutingName = typing.Literal['two-choices', 'round-robin', 'random']
+RoutingName = typing.Literal[
+    'two-choices', 'least-loaded', 'round-robin', 'random'
+]
 AdmissionName = typing.Literal['lanes', 'open']
 RetryName = typing.Literal['budget', 'naive']
-PlannerName = typing.Literal['priced', 'greedy', 'full', 'none']
+PlannerName = typing.Literal['priced', 'greedy', 'descent', 'full', 'none']
 
 
 class ServiceKind(enum.StrEnum):
