Let one gateway a zone read the store; add a fault soak

Cause: on the grown sites each gateway read the store by itself.

Ruled out: a shorter pace of reads (more calls), longer waits (later plans), hints by datagram alone (they tell that there is a newer plan, not what it says).

Change: gateway/source.py decides who reads, without an election; gateway/relay.py passes on what was read. Gateways that follow do not contest the lease.

The soak, tests/soak, runs real gateways as processes.

--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -1,6 +1,7 @@
 """Keeps one gateway, under a lease, leading the expert-parallel groups."""
 
 import asyncio
+from collections import abc
 import datetime
 import random
 
@@ -46,7 +47,13 @@
         platform: ports.Platform,
         peers: peers_module.Peers,
         rng: random.Random,
+        rests: abc.Callable[[], bool],
     ) -> None:
+        """``rests`` says whether a peer reads the store for this one.
+
+        Such a process does not contest the lease: those that read do.
+        """
+        self._rests = rests
         self._core = core
         self._peers = peers
         self._store = platform.store
@@ -96,7 +103,7 @@
 
     async def _turn(self) -> None:
         now = self._core.clock.now()
-        if not self._led and self._peers.leader_heard(now):
+        if not self._led and (self._peers.leader_heard(now) or self._rests()):
             # What the store has is read again once it falls silent.
             self._stale = True
             await asyncio.sleep(TURN.total_seconds())
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -47,6 +47,7 @@
     ``counts`` is what it has in flight, by endpoint, ``plan_offset``
     the offset of the plan that it has in force, ``token`` its lease's if
     it leads, else 0.  A leader tells the ``paces`` of slow endpoints.
+    ``reads`` says that it reads the store, so that others may follow it.
     """
 
     host: str
@@ -56,6 +57,8 @@
     plan_offset: int
     token: int
     paces: dict[str, float]
+    zone: str
+    reads: bool
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -68,10 +71,22 @@
     """Adds up what peers told; writes this gateway's own datagrams."""
 
     def __init__(
-        self, *, host: str, incarnation: str, members: directory.Directory
+        self,
+        *,
+        host: str,
+        zone: str,
+        incarnation: str,
+        port: int,
+        members: directory.Directory,
     ) -> None:
-        """``incarnation`` is another after each start."""
+        """``incarnation`` is another after each start.
+
+        All gateways listen on ``port``.
+        """
         self._host = host
+        self._zone = zone
+        self._port = port
+        self._told = False
         self._incarnation = incarnation
         self._members = members
         self._number = 0
@@ -83,14 +98,24 @@
         self.plan_offset = -1
         self.token = 0
         self.paces: dict[str, float] = {}
+        self.reads = False
 
     @property
     def addresses(self) -> abc.Collection[settings.TcpAddress]:
         """Where the other gateways listen."""
         return self._addresses.values()
 
+    def address(self, host: str) -> settings.TcpAddress | None:
+        """Return where a peer listens, None if it is not known."""
+        return self._addresses.get(host)
+
+    def known(self, ip: str) -> bool:
+        """Return whether an IP address is a gateway's."""
+        return any(a.host == ip for a in self._addresses.values())
+
     def roster(self, addresses: dict[str, settings.TcpAddress]) -> None:
         """Take the addresses of all gateways by their host's name."""
+        self._told = True
         self._addresses = {
             host: address
             for host, address in addresses.items()
@@ -133,9 +158,8 @@
     def _parse(self, data: bytes, sender: str) -> News | None:
         try:
             host, incarnation, number, counts, *rest = orjson.loads(data)
-            offset, token, paces = rest
-            address = self._addresses.get(host)
-            if address is None or address.host != sender:
+            offset, token, paces, zone, reads = rest
+            if not self._may_be(str(host), sender):
                 return None
             return News(
                 host=str(host),
@@ -145,10 +169,23 @@
                 plan_offset=int(offset),
                 token=int(token),
                 paces={str(k): max(1.0, float(v)) for k, v in paces.items()},
+                zone=str(zone),
+                reads=bool(reads),
             )
         except (ValueError, TypeError, AttributeError):
             return None
 
+    def _may_be(self, host: str, sender: str) -> bool:
+        """Return whether ``sender`` is the host that it says it is."""
+        if not self._told:
+            # The store has not told the gateways yet, and may turn this
+            # one away: whoever speaks as one is taken to be one.
+            self._addresses[host] = settings.TcpAddress(
+                host=sender, port=self._port
+            )
+        address = self._addresses.get(host)
+        return address is not None and address.host == sender
+
     def _count(self, news: News | None, sign: int) -> None:
         if news is None:
             return
@@ -182,6 +219,8 @@
             self.plan_offset,
             self.token,
             self.paces if self.token else {},
+            self._zone,
+            self.reads,
         )
         wait = MIN_INTERVAL + INTERVAL_PER_PEER * len(self._addresses)
         if state == self._sent:
--- a/src/aspenfold/_internal/gateway/roster.py
+++ b/src/aspenfold/_internal/gateway/roster.py
@@ -1,10 +1,15 @@
-"""Finds the other gateways through a topic of the store."""
+"""Finds the other gateways through a topic of the store.
+
+While a peer gives the store's news, it gives this topic's too.
+"""
 
 import asyncio
+from collections import abc
 import datetime
 
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import relay
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.observability import events
 
@@ -15,6 +20,10 @@
 """Longest waiting read: gateways come and go rarely, and one that is
 not known yet only makes choices a little worse."""
 
+PACE_S = 0.5
+"""Least time between two reads: at a start all gateways write, within
+0.3 s as the platform says."""
+
 RETRY_WAIT_S = 2.0
 """Wait after a failed call; nothing depends on it."""
 
@@ -29,7 +38,12 @@
         address: settings.TcpAddress,
         store: ports.Store,
         peers: peers_module.Peers,
+        rests: abc.Callable[[], bool],
+        publish: abc.Callable[[relay.News], None],
     ) -> None:
+        """``rests`` says whether a peer gives the news."""
+        self._rests = rests
+        self._publish = publish
         self._host = host
         self._address = address
         self._store = store
@@ -51,12 +65,41 @@
 
     async def _turn(self) -> None:
         if self._end is None:
-            self._take(await self._store.newest(TOPIC))
+            self._read(await self._store.newest(TOPIC))
         if self._known.get(self._host) != self._address:
             value = str(self._address).encode()
             await self._store.put(TOPIC, self._host, value)
+            self._known[self._host] = self._address
+            # The others of a new system write now, too.
+            await asyncio.sleep(PACE_S)
+            self._read(await self._store.newest(TOPIC))
+        await asyncio.sleep(PACE_S)
+        if self._rests():
+            return
         assert self._end is not None
-        self._take(await self._store.read(TOPIC, self._end, WAIT))
+        self._read(await self._store.read(TOPIC, self._end, WAIT))
+
+    def _read(self, page: ports.Page) -> None:
+        self._take(page)
+        if page.records:
+            self._publish(self._news(page.records))
+
+    def snapshot(self) -> relay.News:
+        """Return all that is known, for a peer that begins to follow."""
+        records = tuple(
+            ports.Record(offset=0, key=host, value=str(address).encode())
+            for host, address in self._known.items()
+        )
+        return self._news(records)
+
+    def _news(self, records: tuple[ports.Record, ...]) -> relay.News:
+        return relay.News(topic=TOPIC, end=self._end or 0, records=records)
+
+    def relayed(self, news: relay.News) -> None:
+        """Take what a peer has read."""
+        if news.topic == TOPIC and news.end >= (self._end or 0):
+            page = ports.Page(records=news.records, end=news.end)
+            self._take(page)
 
     def _take(self, page: ports.Page) -> None:
         for record in page.records:
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/source.py
@@ -0,0 +1,176 @@
+"""Where a gateway learns the store's news: from the store or a peer.
+
+Each call of the store is paid for, and each gateway that reads it by
+itself sees the same.  So in each availability zone one gateway reads,
+and the others follow it.  There is no election: a gateway that reads
+says so in its datagrams, and gives reading up once it follows another
+that goes before it.  Whoever loses what it follows reads by itself at
+once, so nothing ever waits for a peer.
+
+A gateway that the store turns away follows any that reads, in whatever
+zone.
+
+Decisions only: no I/O, no time of its own.
+"""
+
+import dataclasses
+import datetime
+import enum
+
+HEARD_LIMIT = datetime.timedelta(seconds=2)
+"""A peer not heard for so long is not followed anew: twice the interval
+of its datagrams at rest."""
+
+RELAY_LIMIT = datetime.timedelta(milliseconds=1_300)
+"""News of a peer that reads each 0.9 s is late from here.  An endpoint
+may be sent to for 2 s after its leaving was accepted: 0.7 s are left to
+read it from the store."""
+
+DISTRUST = datetime.timedelta(seconds=4)
+"""How long a peer whose news was late is not followed."""
+
+PROBE_INTERVAL = datetime.timedelta(seconds=2)
+"""How often a gateway that the store turned away asks it again, while a
+peer gives it the news."""
+
+
+SETTLE_TIME = datetime.timedelta(milliseconds=700)
+"""How long a new process waits to hear whom it may follow, before it
+does what one gateway a zone is enough for: peers speak each 0.15 s."""
+
+
+class Pace(enum.Enum):
+    """How much a gateway reads from the store now."""
+
+    FULL = 'full'
+    PROBE = 'probe'
+    """Only whether it answers again."""
+
+    NONE = 'none'
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Peer:
+    zone: str
+    reads: bool
+    heard_at: datetime.datetime
+    distrusted_until: datetime.datetime | None = None
+
+
+class Source:
+    """Decides for one gateway whom it follows and whether it reads."""
+
+    def __init__(
+        self, *, host: str, zone: str, now: datetime.datetime
+    ) -> None:
+        self._settles_at = now + SETTLE_TIME
+        self._host = host
+        self._zone = zone
+        self._peers: dict[str, _Peer] = {}
+        self._following = ''
+        self._news_at: datetime.datetime | None = None
+        self._lost = False
+        self._answered = False
+        self._probed_at: datetime.datetime | None = None
+
+    # -- events ----------------------------------------------------------
+
+    def heard(
+        self, host: str, zone: str, reads: bool, now: datetime.datetime
+    ) -> None:
+        """A peer told whether it reads the store itself."""
+        known = self._peers.get(host)
+        if known is None:
+            self._peers[host] = _Peer(zone=zone, reads=reads, heard_at=now)
+            return
+        known.zone = zone
+        known.reads = reads
+        known.heard_at = now
+
+    def news(self, host: str, now: datetime.datetime) -> None:
+        """News, perhaps that there is none, came from ``host``."""
+        self._following = host
+        self._news_at = now
+
+    def ended(self, host: str) -> None:
+        """``host`` does not read any more, until it says so anew."""
+        known = self._peers.get(host)
+        if known is not None:
+            known.reads = False
+        self.left(host)
+
+    def dropped(self, host: str, now: datetime.datetime) -> None:
+        """``host`` broke off, or gave its news late."""
+        known = self._peers.get(host)
+        if known is not None:
+            known.distrusted_until = now + DISTRUST
+        self.left(host)
+
+    def left(self, host: str) -> None:
+        """``host`` is not followed any more."""
+        if self._following == host:
+            self._following = ''
+            self._news_at = None
+
+    def store_answered(self) -> None:
+        """The store answered a call of this gateway."""
+        self._lost = False
+        self._answered = True
+
+    def store_failed(self, now: datetime.datetime) -> None:
+        """A call of this gateway failed."""
+        self._lost = True
+        self._probed_at = now
+
+    # -- decisions -------------------------------------------------------
+
+    @property
+    def lost(self) -> bool:
+        """Whether this gateway's last call of the store failed."""
+        return self._lost
+
+    def follows(self, now: datetime.datetime) -> str:
+        """Return the peer to follow, empty if there is none."""
+        found = [
+            (peer.zone != self._zone, host)
+            for host, peer in self._peers.items()
+            if self._may_follow(host, peer, now)
+        ]
+        return min(found)[1] if found else ''
+
+    def pace(self, now: datetime.datetime) -> Pace:
+        """Return how much to read from the store."""
+        if not self._fresh(now):
+            return Pace.FULL
+        if not self._lost:
+            return Pace.NONE
+        last = self._probed_at
+        if last is not None and now - last < PROBE_INTERVAL:
+            return Pace.NONE
+        return Pace.PROBE
+
+    def settled(self, now: datetime.datetime) -> bool:
+        """Return whether peers have had time to be heard."""
+        return now >= self._settles_at
+
+    def reads(self, now: datetime.datetime) -> bool:
+        """Return whether others may follow this gateway."""
+        if self._lost or not self._answered:
+            return False
+        return self.pace(now) is Pace.FULL
+
+    def _may_follow(
+        self, host: str, peer: _Peer, now: datetime.datetime
+    ) -> bool:
+        if not peer.reads or now - peer.heard_at > HEARD_LIMIT:
+            return False
+        until = peer.distrusted_until
+        if until is not None and now < until:
+            return False
+        if self._lost:
+            return True
+        return peer.zone == self._zone and host < self._host
+
+    def _fresh(self, now: datetime.datetime) -> bool:
+        last = self._news_at
+        return last is not None and now - last <= RELAY_LIMIT
--- a/src/aspenfold/_internal/network/http1_client.py
+++ b/src/aspenfold/_internal/network/http1_client.py
@@ -197,13 +197,19 @@
         self._parser.receive_data(data)
 
 
-async def connect(host: str, port: int, timeout_s: float) -> Connection:
-    """Open a connection, or raise :class:`NotConnected`."""
+async def connect(
+    host: str, port: int, timeout_s: float, *, local_host: str = ''
+) -> Connection:
+    """Open a connection, or raise :class:`NotConnected`.
+
+    It comes from the IP address ``local_host``, if that is given.
+    """
     loop = asyncio.get_running_loop()
+    local = (local_host, 0) if local_host else None
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                Connection, host, port
+                Connection, host, port, local_addr=local
             )
     except TimeoutError:
         raise NotConnected(f'no answer in {timeout_s} s') from None
--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -36,7 +36,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Request:
-    """A whole request; header names are in lower case."""
+    """A whole request; header names are in lower case.
+
+    ``sender`` is the IP address that it came from.
+    """
 
     method: bytes
     target: bytes
@@ -44,6 +47,7 @@
     body: bytes
     received_at: datetime.datetime
     kept: bool
+    sender: str = ''
 
     def header(self, name: bytes) -> bytes:
         """Return the header's value, empty if it is absent."""
@@ -113,6 +117,7 @@
         self._begun = False
         self._writable = asyncio.Event()
         self._writable.set()
+        self._sender = ''
         self.started = False
 
     def _new_parser(self) -> h11.Connection:
@@ -133,6 +138,9 @@
             sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
             )
+        peer = transport.get_extra_info('peername')
+        if peer is not None:
+            self._sender = peer[0]
         self._host.connections.add(self)
         self._wait(self._limits.idle_timeout)
 
@@ -230,6 +238,7 @@
             body=b''.join(self._body),
             received_at=self._host.clock.now(),
             kept=self._served > 0,
+            sender=self._sender,
         )
         self._body = []
         self.started = False
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -56,6 +56,8 @@
     LOG_LOST = 700
     LOG_BACK = 701
     HOST_LIST_LOST = 702
+    NEWS_FOLLOWED = 703
+    NEWS_LOST = 704
 
 
 MEANING: dict[Event, str] = {
@@ -97,6 +99,8 @@
     Event.LOG_LOST: 'the log service does not answer',
     Event.LOG_BACK: 'the log service answers again',
     Event.HOST_LIST_LOST: 'the host list does not answer',
+    Event.NEWS_FOLLOWED: 'a gateway gets the news of the store from a peer',
+    Event.NEWS_LOST: 'it gets them from that peer no more',
 }
 """One line for each event, for ``docs/EVENTS.md``."""
 
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -12,8 +12,10 @@
 from aspenfold._internal.gateway import maps_duty
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import relay
 from aspenfold._internal.gateway import roster as roster_module
 from aspenfold._internal.gateway import settings
+from aspenfold._internal.gateway import source as source_module
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import datagrams
 from aspenfold._internal.network import http1_server
@@ -52,26 +54,50 @@
             rng=random.Random(secrets.randbits(128)),
         )
         self._clock = clock
+        self._source = source_module.Source(
+            host=cfg.name, zone=cfg.availability_zone, now=clock.now()
+        )
+        self._publisher = relay.Publisher(
+            snapshot=self._snapshot,
+            reads=lambda: self._source.reads(clock.now()),
+            known=lambda ip: self._peers.known(ip),
+        )
         self._feeds = feeds_module.Feeds(
-            platform=platform, believer=self._core, clock=clock
+            platform=platform,
+            believer=self._core,
+            clock=clock,
+            source=self._source,
+            publish=self._publisher.publish,
         )
         self._peers = peers_module.Peers(
             host=cfg.name,
+            zone=cfg.availability_zone,
             incarnation=secrets.token_hex(4),
+            port=cfg.peer_port,
             members=self._core.directory,
         )
+        self._follower = relay.Follower(
+            source=self._source,
+            peers=self._peers,
+            clock=clock,
+            take=self._take_news,
+            local_host=cfg.address,
+        )
         self._duty = maps_duty.MapsDuty(
             host=cfg.name,
             core=self._core,
             platform=platform,
             peers=self._peers,
             rng=random.Random(secrets.randbits(128)),
+            rests=self._rests,
         )
         self._roster = roster_module.Roster(
             host=cfg.name,
             address=settings.TcpAddress(host=cfg.address, port=cfg.peer_port),
             store=platform.store,
             peers=self._peers,
+            rests=self._rests,
+            publish=self._publisher.publish,
         )
         self._tasks = tasks.Tasks()
         self._stop = asyncio.Event()
@@ -79,9 +105,11 @@
         self.port = 0
         self.health_port = 0
         self.metrics_port = 0
+        self.news_port = 0
         self._callers = self._server(self._handle)
         self._health = self._server(self._answer_health)
         self._metrics = self._server(self._answer_metrics)
+        self._news = self._server(self._publisher.handle)
         self._in_flight = 0
         self._core.metrics.gauge('in_flight', lambda: self._in_flight)
 
@@ -112,10 +140,14 @@
         self._tasks.spawn(self._feeds.follow_list())
         self._tasks.spawn(self._roster.run())
         self._tasks.spawn(self._tell_peers())
+        self._tasks.spawn(self._follower.run())
         self._leading = asyncio.create_task(self._duty.run())
         callers, health = self._cfg.callers, self._cfg.health
         assert callers is not None
         assert health is not None
+        self.news_port = await self._news.start(
+            self._cfg.address, self._cfg.peer_port
+        )
         self.port = await self._callers.start(callers.host, callers.port)
         self.health_port = await self._health.start(health.host, health.port)
         metrics = self._cfg.metrics
@@ -134,8 +166,11 @@
 
         def receive(data: bytes, sender: str) -> None:
             news = self._peers.heard(data, sender, self._clock.now())
-            if news is not None:
-                self._feeds.hint(news.plan_offset)
+            if news is None:
+                return
+            now = self._clock.now()
+            self._source.heard(news.host, news.zone, news.reads, now)
+            self._feeds.hint(news.plan_offset)
 
         socket = await datagrams.listen(
             self._cfg.address, self._cfg.peer_port, receive
@@ -145,11 +180,26 @@
             now = self._clock.now()
             self._peers.forget_silent(now)
             self._peers.plan_offset = self._feeds.plan_offset
+            self._peers.reads = self._source.reads(now)
             data = self._peers.datagram(now)
             if data is not None:
                 for address in self._peers.addresses:
                     socket.send(data, address.host, address.port)
 
+    def _rests(self) -> bool:
+        """Return whether a peer gives the store's news, or soon may."""
+        now = self._clock.now()
+        if not self._source.settled(now):
+            return True
+        return self._source.pace(now) is source_module.Pace.NONE
+
+    def _snapshot(self) -> list[relay.News]:
+        return [self._roster.snapshot(), *self._feeds.snapshot()]
+
+    def _take_news(self, news: relay.News) -> None:
+        self._feeds.relayed(news)
+        self._roster.relayed(news)
+
     def _reload(self) -> None:
         """SIGHUP: all that can change is read from the store anyway."""
         events.emit(events.Event.RELOADED, name=self._cfg.name)
@@ -177,6 +227,11 @@
             and not self._core.draining
         )
 
+    @property
+    def followers(self) -> int:
+        """How many gateways get the store's news from this one."""
+        return self._publisher.followers
+
     @property
     def endpoints(self) -> int:
         """How many endpoints are known."""
@@ -218,7 +273,8 @@
         if self._leading is not None:
             self._leading.cancel()
         self._tasks.cancel()
-        for server in (self._callers, self._health, self._metrics):
+        servers = (self._callers, self._health, self._metrics, self._news)
+        for server in servers:
             server.close()
         await asyncio.sleep(0)
 
@@ -249,6 +305,6 @@
                 in_flight=self._in_flight,
             )
         self._tasks.cancel()
-        for server in (self._health, self._metrics):
+        for server in (self._health, self._metrics, self._news):
             server.close()
         events.emit(events.Event.STOPPED, name=self._cfg.name)
--- a/standins/aspenfold_standins/http11.py
+++ b/standins/aspenfold_standins/http11.py
@@ -5,6 +5,7 @@
 import dataclasses
 import socket
 import struct
+import time
 
 import h11
 
@@ -19,6 +20,8 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    arrived_at: float = 0.0
+    """When it was read whole, by the machine's steady clock, in s."""
 
 
 class Exchange:
@@ -118,7 +121,7 @@
         await asyncio.wait({work, gone}, return_when='FIRST_COMPLETED')
         if not work.done():
             work.cancel()
-            await asyncio.gather(work, return_exceptions=True)
+            await asyncio.gather(work, gone, return_exceptions=True)
             raise ConnectionResetError
         gone.cancel()
         await asyncio.gather(gone, return_exceptions=True)
@@ -144,6 +147,7 @@
                 target=head.target.decode(),
                 headers={n.decode(): v.decode() for n, v in head.headers},
                 body=body,
+                arrived_at=time.monotonic(),
             )
         else:
             return None
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -85,6 +85,45 @@
     }
 
 
+def process(
+    *,
+    store_port: int,
+    name: str = 'gateway-1',
+    address: str = LOOPBACK,
+    peer_port: int = 0,
+) -> gateway.GatewayProcess:
+    """Return a gateway that is not started yet."""
+    anywhere = settings.TcpAddress(host=address, port=0)
+    cfg = settings.GatewaySettings(
+        name=name,
+        availability_zone='zone-a',
+        address=address,
+        peer_port=peer_port,
+        callers=anywhere,
+        health=anywhere,
+        metrics=anywhere,
+        store=settings.TcpAddress(host=LOOPBACK, port=store_port),
+        grace_s=2.0,
+        retry_ratio=0.2,
+        retry_slack=90.0,
+    )
+    platform = ports.Platform(
+        store=store.StoreClient(address=cfg.store),
+        plan_topic=config.TOPIC,
+        plan_key=config.KEY,
+        decode_plan=config.decode,
+        endpoint_topic=members.TOPIC,
+        decode_listing=members.decode,
+        engine=engine.EngineClient(),
+    )
+    return gateway.GatewayProcess(
+        cfg=cfg,
+        platform=platform,
+        dialect=headers.DIALECT,
+        clock=clock.SteadyClock(),
+    )
+
+
 class Rig:
     """Holds the store, the endpoints and the gateway of one test."""
 
@@ -114,35 +153,7 @@
 
     async def start(self) -> None:
         """Start the gateway."""
-        anywhere = settings.TcpAddress(host=LOOPBACK, port=0)
-        cfg = settings.GatewaySettings(
-            name='gateway-1',
-            availability_zone='zone-a',
-            address=LOOPBACK,
-            peer_port=0,
-            callers=anywhere,
-            health=anywhere,
-            metrics=anywhere,
-            store=settings.TcpAddress(host=LOOPBACK, port=self.store.port),
-            grace_s=2.0,
-            retry_ratio=0.2,
-            retry_slack=90.0,
-        )
-        platform = ports.Platform(
-            store=store.StoreClient(address=cfg.store),
-            plan_topic=config.TOPIC,
-            plan_key=config.KEY,
-            decode_plan=config.decode,
-            endpoint_topic=members.TOPIC,
-            decode_listing=members.decode,
-            engine=engine.EngineClient(),
-        )
-        self.process = gateway.GatewayProcess(
-            cfg=cfg,
-            platform=platform,
-            dialect=headers.DIALECT,
-            clock=clock.SteadyClock(),
-        )
+        self.process = process(store_port=self.store.port)
         await self.process.start()
 
     async def ready(self) -> None:
--- a/tests/lib/rank_world.py
+++ b/tests/lib/rank_world.py
@@ -219,7 +219,7 @@
     def _strike(self) -> None:
         faults = self.faults
         if self.open and self._chance(faults.crash):
-            self._crash()
+            self.crash()
         for leader in list(self.leaders):
             if self._chance(faults.leader_kill):
                 self.leaders.remove(leader)
@@ -231,7 +231,8 @@
             self._term += 1
             self.leaders.append(Leader(self, self._term))
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
+        """Lose a rank; the group forms anew a while later."""
         self.open = False
         self.rng.choice(self.ranks).fence = 0
         self.after(FORM_TIME + self.rng.randrange(2000) * MS, self._form)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateways, faults from outside, promises kept."""
--- /dev/null
+++ b/tests/soak/system.py
@@ -0,0 +1,312 @@
+"""The system under soak: store, endpoints, and gateways as processes."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import time
+
+from aspenfold_standins import http11
+from aspenfold_standins import metadata_store
+from aspenfold_standins import platform_worker
+
+from aspenfold.platform import config
+from aspenfold.platform import members
+from aspenfold.platform import settings
+from tests.lib import gateway_rig
+from tests.soak import group as group_module
+from tests.soak import links
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+PROGRAM = (sys.executable, str(ROOT / 'deploy' / 'run.py'), 'gateway')
+"""As the platform starts it."""
+
+GRACE_S = 3.0
+GROUP_SIZE = 4
+PLAIN_ENDPOINTS = 3
+EVENTS = 8
+EVENT_GAP_S = 0.04
+WORK_S = 0.02
+ORGANISATION = 'one'
+
+
+@dataclasses.dataclass(kw_only=True)
+class Incarnation:
+    """One process of a gateway, from its start to its end."""
+
+    gateway: str
+    process: asyncio.subprocess.Process
+    log: pathlib.Path
+    asked_to_end: bool = False
+    killed: bool = False
+    status: int | None = None
+    paused: bool = False
+
+
+class Gateway:
+    """One gateway's host: its addresses, links and processes."""
+
+    def __init__(self, *, name: str, host: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.host = host
+        self.folder = folder
+        self.callers = free_port(host)
+        self.health = free_port(host)
+        self.peers = free_port(host)
+        self.front = links.Link(host=host, port=self.callers)
+        self.store: links.Link
+        self.incarnations: list[Incarnation] = []
+
+    @property
+    def current(self) -> Incarnation | None:
+        """The process that runs, None between two."""
+        if not self.incarnations:
+            return None
+        newest = self.incarnations[-1]
+        return newest if newest.status is None else None
+
+    def write_settings(self) -> None:
+        """Write the settings file as the platform would."""
+        value = {
+            'node': self.name,
+            'ip': self.host,
+            'zone': 'zone-a',
+            'listen': {
+                'front': f'{self.host}:{self.callers}',
+                'ready': f'{self.host}:{self.health}',
+            },
+            'internal_port_range': [self.peers, self.peers],
+            'bounds': {'grace_s': GRACE_S},
+            'platform': {'address': f'127.0.0.1:{self.store.port}'},
+        }
+        path = self.folder / f'{self.name}.json'
+        path.write_text(json.dumps(value))
+
+    async def start(self) -> Incarnation:
+        """Start a process; its output goes to a file of its own."""
+        number = len(self.incarnations) + 1
+        log = self.folder / f'{self.name}-{number}.log'
+        variables = {
+            **os.environ,
+            settings.VARIABLE: str(self.folder / f'{self.name}.json'),
+        }
+        with log.open('wb') as output:
+            process = await asyncio.create_subprocess_exec(
+                *PROGRAM, env=variables, stdout=output, stderr=output
+            )
+        found = Incarnation(gateway=self.name, process=process, log=log)
+        self.incarnations.append(found)
+        return found
+
+    def signal(self, number: signal.Signals) -> None:
+        """Signal the process that runs, if one does."""
+        found = self.current
+        if found is None or found.process.returncode is not None:
+            return
+        if number is signal.SIGTERM:
+            found.asked_to_end = True
+        if number is signal.SIGKILL:
+            found.killed = True
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            found.paused = number is signal.SIGSTOP
+        found.process.send_signal(number)
+
+    async def ready(self) -> bool:
+        """Ask for its health, as the balancer does."""
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(
+                    self.host, self.health
+                )
+                writer.write(b'GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n')
+                answer = await gateway_rig.read_answer(reader)
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return answer.status == 200
+
+
+@dataclasses.dataclass(kw_only=True)
+class Endpoint:
+    """One incarnation of an endpoint, behind its link."""
+
+    worker: platform_worker.Worker
+    link: links.Link
+    service: str
+    leaving_at: float | None = None
+    troubled: list[float] = dataclasses.field(default_factory=list)
+
+    def entry(self) -> dict[str, object]:
+        """Return its entry in the store."""
+        state = 'ready' if self.leaving_at is None else 'draining'
+        found = self.worker.entry(self.service, state)
+        return {**found, 'address': f'127.0.0.1:{self.link.port}'}
+
+
+class System:
+    """Everything that runs in one soak."""
+
+    def __init__(
+        self, *, folder: pathlib.Path, rng: random.Random, gateways: int
+    ) -> None:
+        self.rng = rng
+        self.store = metadata_store.MetadataStore()
+        self.group = group_module.Group(size=GROUP_SIZE, rng=rng)
+        self.endpoints: list[Endpoint] = []
+        self.gone: list[Endpoint] = []
+        self.version = 0
+        self.accepted_at = 0.0
+        self.extra_routes: list[str] = []
+        network = f'127.{rng.randrange(20, 250)}.{rng.randrange(250)}'
+        self.gateways = [
+            Gateway(
+                name=f'gateway-{n}', host=f'{network}.{n + 1}', folder=folder
+            )
+            for n in range(gateways)
+        ]
+        self._names = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start everything, the first plan included."""
+        await self.store.start()
+        self._spawn(self.group.run())
+        for _ in range(PLAIN_ENDPOINTS):
+            await self.add_endpoint()
+        for rank in range(GROUP_SIZE):
+            await self._add_rank(rank)
+        await self.change_plan()
+        for gateway in self.gateways:
+            gateway.store = links.Link(host='127.0.0.1', port=self.store.port)
+            await gateway.store.start()
+            await gateway.front.start()
+            gateway.write_settings()
+            await gateway.start()
+            self._spawn(self._keep_running(gateway))
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+
+    async def stop(self) -> None:
+        """End what was started, by its process id."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.group.stop()
+        for gateway in self.gateways:
+            found = gateway.current
+            if found is not None and found.process.returncode is None:
+                gateway.signal(signal.SIGCONT)
+                found.killed = True
+                found.process.kill()
+                await found.process.wait()
+            await gateway.front.stop()
+            await gateway.store.stop()
+        for endpoint in [*self.endpoints, *self.gone]:
+            await endpoint.worker.stop()
+            await endpoint.link.stop()
+        await self.store.stop()
+
+    async def _keep_running(self, gateway: Gateway) -> None:
+        """Start a process again whenever it has ended."""
+        while True:
+            found = gateway.incarnations[-1]
+            found.status = await found.process.wait()
+            await asyncio.sleep(0.2)
+            await gateway.start()
+
+    # -- endpoints -------------------------------------------------------
+
+    async def add_endpoint(self) -> Endpoint:
+        """Start a plain endpoint and list it."""
+        self._names += 1
+        worker = platform_worker.Worker(f'plain-{self._names}')
+        worker.script = sound
+        return await self._list(worker, 'plain')
+
+    async def _add_rank(self, rank: int) -> None:
+        worker = group_module.RankWorker(
+            f'rank-{rank}', group=self.group, rank=rank
+        )
+        worker.script = sound
+        await self._list(worker, 'model')
+
+    async def _list(
+        self, worker: platform_worker.Worker, service: str
+    ) -> Endpoint:
+        worker.events = EVENTS
+        worker.gap_s = EVENT_GAP_S
+        await worker.start()
+        link = links.Link(host='127.0.0.1', port=worker.port)
+        await link.start()
+        found = Endpoint(worker=worker, link=link, service=service)
+        self.endpoints.append(found)
+        await self.tell(found)
+        return found
+
+    async def tell(self, endpoint: Endpoint) -> None:
+        """Write an endpoint's entry."""
+        name = endpoint.worker.name
+        await self.store.put(members.TOPIC, name, endpoint.entry())
+
+    async def remove(self, endpoint: Endpoint) -> None:
+        """End an endpoint and remove its entry."""
+        self.endpoints.remove(endpoint)
+        self.gone.append(endpoint)
+        await endpoint.worker.stop()
+        endpoint.link.begin(links.Trouble.RESET)
+        await self.store.remove(members.TOPIC, endpoint.worker.name)
+
+    # -- the plan --------------------------------------------------------
+
+    @property
+    def probe_path(self) -> str:
+        """A path that only the newest plan has."""
+        return f'/v{self.version}/'
+
+    async def change_plan(self) -> None:
+        """Write a newer plan, with a path that only it has."""
+        self.version += self.rng.randrange(1, 4)
+        found = gateway_rig.plan(self.version)
+        routes = found['routes']
+        assert isinstance(routes, list)
+        probe = gateway_rig.route(self.probe_path, 'safe')
+        found['routes'] = [*routes, {**probe, 'allow_anonymous': True}]
+        services = found['services']
+        assert isinstance(services, list)
+        services[1]['engine'] = {
+            'sets': 1,
+            'experts': group_module.EXPERTS,
+            'placements': 4,
+            'spare': 4,
+        }
+        await self.store.put(config.TOPIC, config.KEY, found)
+        self.accepted_at = time.monotonic()
+
+
+async def sound(
+    worker: platform_worker.Worker, exchange: http11.Exchange
+) -> None:
+    """Work a while; the answer names its request."""
+    attempt = exchange.request.headers.get(platform_worker.ATTEMPT, '')
+    target = exchange.request.target
+    if target.startswith(('/stream/', '/song/', '/model/')):
+        await platform_worker.stream(worker, exchange)
+        return
+    worker.ran(exchange)
+    await asyncio.sleep(WORK_S)
+    headers = worker.headers(exchange)
+    await exchange.answer(200, headers, b'answer to ' + attempt.encode())
+
+
+def free_port(host: str) -> int:
+    """Return a port of ``host`` that is free now."""
+    with socket.create_server((host, 0)) as found:
+        return int(found.getsockname()[1])
--- a/tests/unit/test_gateway_feeds.py
+++ b/tests/unit/test_gateway_feeds.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import datetime
+import typing
 
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import feeds
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import relay
+from aspenfold._internal.gateway import source
 from aspenfold._internal.kernel import clock
 
 SECOND = datetime.timedelta(seconds=1)
@@ -83,8 +86,14 @@
             decode_listing=decode_listing,
             engine=None,  # type: ignore[arg-type]
         )
+        self.source = source.Source(host='g-2', zone='z', now=self.clock.now())
+        self.published: list[relay.News | None] = []
         self.feeds = feeds.Feeds(
-            platform=platform, believer=self.believer, clock=self.clock
+            platform=platform,
+            believer=self.believer,
+            clock=self.clock,
+            source=self.source,
+            publish=self.published.append,
         )
 
     def wait(self, seconds: float) -> None:
@@ -286,3 +295,84 @@
         assert versions(scene) == [7, 9]
 
     asyncio.run(run())
+
+
+def relayed(*records: tuple[int, str, bytes | None], **more: object) -> bytes:
+    """Return a line of news about endpoints."""
+    found = page(*records)
+    news = relay.News(
+        topic='endpoints',
+        end=typing.cast(int, more.pop('end', found.end)),
+        records=found.records,
+        **more,  # type: ignore[arg-type]
+    )
+    return relay.encode(news)
+
+
+def test_a_peer_s_news_is_taken_like_one_s_own() -> None:
+    """Changes, removals and whole lists; older ones change nothing."""
+    scene = begun()
+    scene.feeds.relayed(relay.decode(relayed((5, 'c', b'ready'))))
+    assert scene.routable() == ['a', 'b', 'c']
+    scene.feeds.relayed(relay.decode(relayed((6, 'a', b'draining'))))
+    scene.feeds.relayed(relay.decode(relayed(absent=('b',), end=8)))
+    assert scene.routable() == ['c']
+    whole = relayed((7, 'd', b'ready'), whole=True, end=9)
+    scene.feeds.relayed(relay.decode(whole))
+    assert scene.routable() == ['d']
+    old = relayed((0, 'a', b'ready'), (1, 'b', b'ready'), whole=True)
+    scene.feeds.relayed(relay.decode(old))
+    assert scene.routable() == ['d']
+
+
+def test_a_peer_s_plan_is_taken_and_never_goes_back() -> None:
+    """By the offset of its record."""
+    scene = Scene()
+    for offset, value in ((4, '7'), (9, '8'), (4, '7')):
+        record = ports.Record(offset=offset, key='plan', value=value.encode())
+        scene.feeds.relayed(
+            relay.News(topic='plans', end=offset + 1, records=(record,))
+        )
+    assert versions(scene) == [7, 8]
+
+
+def test_what_is_read_is_passed_on_once() -> None:
+    """A heartbeat alone is no news, but shows that the reader lives."""
+    scene = begun()
+    scene.feeds._tell_changes()
+    scene.read_list(page((2, 'a', b'ready'), (3, 'b', b'draining')))
+    scene.feeds._tell_changes()
+    scene.read_list(page((4, 'a', b'ready')))
+    scene.feeds._tell_changes()
+    told = [
+        news and [(r.key, r.value) for r in news.records]
+        for news in scene.published
+    ]
+    assert told == [
+        [('a', b'ready'), ('b', b'ready')],
+        [('b', b'draining')],
+        None,
+    ]
+
+
+def test_a_snapshot_tells_all_that_is_known() -> None:
+    """One that begins to follow then knows as much."""
+    scene = begun()
+    scene.read_plan(page((4, 'plan', b'7')))
+    scene.read_list(page((2, 'a', None), (3, 'c', b'ready')))
+    other = Scene()
+    for news in scene.feeds.snapshot():
+        other.feeds.relayed(relay.decode(relay.encode(news)))
+    assert other.routable() == scene.routable() == ['b', 'c']
+    assert versions(other) == [7]
+
+
+def test_an_endpoint_that_is_gone_does_not_return_by_an_old_reading() -> None:
+    """Also if there was no record of its removal."""
+    scene = begun()
+    scene.feeds._list_offset = None
+    scene.read_list(page((1, 'b', b'ready'), end=6))
+    assert scene.routable() == ['b']
+    scene.feeds._list_offset = None
+    scene.read_list(page((5, 'a', b'ready'), (1, 'b', b'ready'), end=6))
+    assert scene.routable() == ['b']
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -319,7 +319,9 @@
     for name in ('g-1', 'g-2'):
         known = directory.Directory()
         known.listed(listed('w'))
-        one = peers.Peers(host=name, incarnation='i', members=known)
+        one = peers.Peers(
+            host=name, zone='z', incarnation='i', port=7, members=known
+        )
         one.roster(roster)
         made.append((one, known))
     return made[0][0], made[1][0], made[1][1]
