--- /dev/null
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -0,0 +1,213 @@
+"""One attempt at one endpoint, from its connection to its end."""
+
+import asyncio
+
+from aspenfold._internal.gateway import call as call_module
+from aspenfold._internal.gateway import core as core_module
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import forwarding
+from aspenfold._internal.gateway import outcome
+from aspenfold._internal.gateway import plan as plan_module
+from aspenfold._internal.network import http1_client
+from aspenfold._internal.observability import events
+
+CONNECT_TIMEOUT_S = 0.3
+"""How long to wait for an endpoint to accept: a cut link never does;
+the longest round trip between zones is 3 ms."""
+
+MAX_WHOLE_ANSWER = 4_194_304
+"""Largest answer that is held until it is whole; as the body limit."""
+
+
+class Attempt:
+    """Sends a call to one endpoint, and takes what comes back."""
+
+    def __init__(
+        self,
+        *,
+        core: core_module.Core,
+        call: call_module.Call,
+        history: outcome.History,
+        endpoint: directory.Endpoint,
+    ) -> None:
+        self._core = core
+        self._names = core.names
+        self._call = call
+        self._history = history
+        self._endpoint = endpoint
+
+    async def run(self) -> outcome.End:
+        """Make the attempt and keep the books of its endpoint."""
+        endpoint = self._endpoint
+        events.emit(
+            events.Event.ATTEMPT_OPENED,
+            call=self._call.id,
+            number=self._history.sent + 1,
+            endpoint=endpoint.name,
+            pressure=round(endpoint.pressure, 2),
+            left_ms=self._call.left_ms,
+            plan=self._core.plan_version,
+        )
+        endpoint.in_flight += 1
+        try:
+            async with asyncio.timeout(self._call.left.total_seconds()):
+                end = await self._connect_and_send()
+        except TimeoutError:
+            end = outcome.End.TIMED_OUT
+        finally:
+            endpoint.in_flight -= 1
+        self._judge(end)
+        return end
+
+    async def _connect_and_send(self) -> outcome.End:
+        listing = self._endpoint.listing
+        try:
+            connection = await http1_client.connect(
+                listing.host, listing.port, CONNECT_TIMEOUT_S
+            )
+        except http1_client.NotConnected:
+            self._history.unreachable += 1
+            return outcome.End.NOT_SENT
+        try:
+            return await self._send(connection)
+        finally:
+            connection.close()
+
+    async def _send(self, connection: http1_client.Connection) -> outcome.End:
+        history = self._history
+        request = self._call.request
+        headers = self._headers()
+        earlier = history.may_have_run
+        history.sent += 1
+        history.may_have_run = True
+        try:
+            connection.send(
+                request.method, request.target, headers, request.body
+            )
+            head = await connection.head()
+            end = self._judge_head(head)
+            if end in outcome.NOT_RUN:
+                history.may_have_run = earlier
+                return end
+            if end is outcome.End.LOST:
+                return end
+            if self._is_event_stream(head.status_code):
+                return await self._relay(head, connection)
+            return await self._take_whole(head, connection)
+        except http1_client.ConnectionLost:
+            return outcome.End.LOST
+
+    def _headers(self) -> forwarding.Headers:
+        call = self._call
+        last_id = b''
+        if self._history.head_delivered:
+            last_id = call.cutter.last_id
+        return self._core.forwarding.request(
+            call.request,
+            endpoint=self._endpoint,
+            organisation=call.organisation,
+            left_ms=max(1, call.left_ms),
+            last_event_id=last_id,
+        )
+
+    # -- the answer ------------------------------------------------------
+
+    def _judge_head(self, head: http1_client.Head) -> outcome.End:
+        """Return what the head alone tells: not run, lost or answered."""
+        headers = list(head.headers)
+        load = forwarding.header(headers, self._names.load)
+        if load:
+            told = forwarding.parse_load(load)
+            if told is not None:
+                self._endpoint.take_load(told)
+        if head.status_code == 421:
+            return outcome.End.REPLACED
+        if forwarding.header(headers, self._names.not_run):
+            return self._declined()
+        echoed = forwarding.header(headers, self._names.attempt_id)
+        if echoed.decode('latin-1') != self._call.id:
+            # An answer to some earlier request, come late.
+            return outcome.End.LOST
+        return outcome.End.ANSWERED
+
+    def _declined(self) -> outcome.End:
+        """Tell an endpoint that is full from one whose group is down."""
+        load = self._endpoint.load
+        if load is None or not self._core.has_group(self._call.service):
+            return outcome.End.DECLINED
+        if load.running + load.waiting < load.capacity:
+            return outcome.End.DOWN
+        return outcome.End.DECLINED
+
+    def _is_event_stream(self, status: int) -> bool:
+        kind = self._history.route.kind
+        return kind is plan_module.Kind.STREAMING and status == 200
+
+    async def _take_whole(
+        self, head: http1_client.Head, connection: http1_client.Connection
+    ) -> outcome.End:
+        """Hold an answer until it is whole."""
+        parts: list[bytes] = []
+        size = 0
+        while (data := await connection.data()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > MAX_WHOLE_ANSWER:
+                return outcome.End.LOST
+        if self._history.head_delivered:
+            # A resumed stream cannot go on with a failure's body.
+            return outcome.End.FAILED
+        self._call.held = call_module.WholeAnswer(
+            status=head.status_code,
+            headers=list(head.headers),
+            body=b''.join(parts),
+        )
+        if head.status_code < 500:
+            return outcome.End.ANSWERED
+        return outcome.End.FAILED
+
+    async def _relay(
+        self, head: http1_client.Head, connection: http1_client.Connection
+    ) -> outcome.End:
+        """Pass events on, each as soon as it is whole."""
+        answer, cutter = self._call.answer, self._call.cutter
+        cutter.drop_rest()
+        while (data := await connection.data()) is not None:
+            whole = cutter.feed(data)
+            if whole:
+                self._begin_stream(head)
+                answer.data(whole)
+                await answer.room()
+        self._begin_stream(head)
+        if cutter.rest:
+            answer.data(cutter.rest)
+        answer.end()
+        return outcome.End.ANSWERED
+
+    def _begin_stream(self, head: http1_client.Head) -> None:
+        if self._history.head_delivered:
+            return
+        self._history.head_delivered = True
+        headers = self._core.forwarding.answer(list(head.headers), length=None)
+        self._core.metrics.latency(
+            'first-event', self._call.organisation, self._call.age
+        )
+        self._call.answer.start(head.status_code, headers)
+
+    # -- what is learnt --------------------------------------------------
+
+    def _judge(self, end: outcome.End) -> None:
+        """Learn about the endpoint from how the attempt ended."""
+        now = self._core.clock.now()
+        known = self._core.directory
+        if end is outcome.End.ANSWERED:
+            known.succeeded(self._endpoint)
+        elif end is outcome.End.NOT_SENT:
+            known.unreachable(self._endpoint, now)
+        elif end is outcome.End.REPLACED:
+            known.replaced(self._endpoint)
+        elif self._core.has_group(self._call.service):
+            # A rank's failure is its whole group's: none is better.
+            return
+        elif end in (outcome.End.LOST, outcome.End.FAILED):
+            known.failed(self._endpoint, now)
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -60,6 +60,11 @@
             return plan_module.DEFAULT_LIMITS
         return self.table.plan.limits
 
+    @property
+    def plan_version(self) -> int:
+        """The version of the plan in force, 0 for none."""
+        return self.table.plan.version if self.table else 0
+
     def adopt(self, plan: plan_module.Plan) -> None:
         """Put a plan in force; an older one than now is left out."""
         table = self.table
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -248,8 +248,7 @@
     @property
     def plan_version(self) -> int:
         """The version of the plan in force, 0 for none."""
-        table = self._core.table
-        return table.plan.version if table is not None else 0
+        return self._core.plan_version
 
     async def _answer_health(
         self, request: http1_server.Request, answer: http1_server.Answer
