Take over from a leader that fell silent within a second

Ruled out: a shorter lapse alone (it is counted from a reading that is made only after the silence), no hold (the proof needs it).

Change: a leader tells each 0.2 s that it leads; one that was heard and is silent for 0.8 s is taken to be gone, and its lease free. A new leader looks at once whether a pass is held. Tokens fence the old one as before.

--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -129,7 +129,7 @@
         found: dict[int, directory.Endpoint] = {}
         epochs: set[int] = set()
         size = 0
-        version = 0
+        holder: ranks.Report | None = None
         for endpoint, report in zip(members, reports, strict=True):
             if report is None or report.group != self._group:
                 continue
@@ -139,18 +139,17 @@
             epochs.add(report.epoch)
             size = report.size
             if report.rank == switch_module.HOLDER:
-                version = report.version
-        if len(epochs) != 1 or len(found) != size:
+                holder = report
+        if holder is None or len(epochs) != 1 or len(found) != size:
             await asyncio.sleep(FIND_INTERVAL.total_seconds())
             return
-        await self._take_group(epochs.pop(), found, version)
+        await self._take_group(found, holder)
 
     async def _take_group(
-        self,
-        epoch: int,
-        found: dict[int, directory.Endpoint],
-        version: int,
+        self, found: dict[int, directory.Endpoint], holder: ranks.Report
     ) -> None:
+        """Lead the group; a pass that is held already is released soon."""
+        epoch, version = holder.epoch, holder.version
         current = await self._current_map(found, version)
         if current is None:
             return
@@ -168,6 +167,10 @@
             epoch=epoch,
             ranks=len(found),
             version=version,
+            held=holder.held,
+        )
+        self._perform(
+            self._switch, self._switch.reported(holder, self._clock.now())
         )
 
     async def _current_map(
--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -111,7 +111,8 @@
         try:
             if self._stale:
                 await self._read_newest()
-            wish = self._contest.wish(now)
+            silent = self._peers.leader_silent(now)
+            wish = self._contest.wish(now, silent=silent)
             if wish is not None:
                 await self._append(wish)
             elif self._contest.token:
@@ -146,11 +147,11 @@
         self._contest.read(grant, offset + 1, self._core.clock.now())
 
     async def _follow(self) -> None:
-        due = self._contest.due_in(self._core.clock.now())
+        now = self._core.clock.now()
+        silent = self._peers.leader_silent(now)
+        wait = min(FOLLOW_WAIT, self._contest.due_in(now, silent=silent))
         try:
-            page = await self._store.read(
-                TOPIC, self._contest.end, min(FOLLOW_WAIT, due)
-            )
+            page = await self._store.read(TOPIC, self._contest.end, wait)
         except ports.HistoryTrimmed:
             self._stale = True
             return
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -28,6 +28,14 @@
 REST_INTERVAL = datetime.timedelta(seconds=1)
 """A datagram is sent this often also when nothing changes."""
 
+LEADING_INTERVAL = datetime.timedelta(milliseconds=200)
+"""The same for the gateway that leads: a group that it holds stands
+still if it falls silent."""
+
+LEADER_SILENCE = datetime.timedelta(milliseconds=800)
+"""A leader that was not heard for so long is taken to be gone: three
+of its datagrams, and the time that one may be late."""
+
 MIN_INTERVAL = datetime.timedelta(milliseconds=25)
 """Least time between two datagrams to a peer: under the time of a pass,
 so that no slot is filled twice for want of news."""
@@ -64,7 +72,9 @@
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Peer:
     news: News | None = None
+    # None once it counts as silent.
     heard_at: datetime.datetime | None = None
+    last_at: datetime.datetime | None = None
 
 
 class Peers:
@@ -137,7 +147,7 @@
         known = last is not None and last.incarnation == news.incarnation
         if last is not None and known and news.number <= last.number:
             return None
-        peer.heard_at = now
+        peer.heard_at = peer.last_at = now
         self._count(last, -1)
         self._count(news, 1)
         peer.news = news
@@ -148,13 +158,21 @@
     def leader_heard(self, now: datetime.datetime) -> bool:
         """Return whether a peer that leads was heard a moment ago."""
         return any(
-            peer.news.token
-            for peer in self._peers.values()
-            if peer.news is not None
-            and peer.heard_at is not None
-            and now - peer.heard_at <= SILENCE_LIMIT
+            now - heard <= LEADER_SILENCE for heard in self._leaders_heard()
         )
 
+    def leader_silent(self, now: datetime.datetime) -> bool:
+        """Return whether a peer led when it was heard last, long ago."""
+        heard = list(self._leaders_heard())
+        return bool(heard) and not self.leader_heard(now)
+
+    def _leaders_heard(self) -> abc.Iterator[datetime.datetime]:
+        for peer in self._peers.values():
+            if peer.news is None or not peer.news.token:
+                continue
+            if peer.last_at is not None:
+                yield peer.last_at
+
     def _parse(self, data: bytes, sender: str) -> News | None:
         try:
             host, incarnation, number, counts, *rest = orjson.loads(data)
@@ -224,7 +242,7 @@
         )
         wait = MIN_INTERVAL + INTERVAL_PER_PEER * len(self._addresses)
         if state == self._sent:
-            wait = REST_INTERVAL
+            wait = LEADING_INTERVAL if self.token else REST_INTERVAL
         if self._sent_at is not None and now - self._sent_at < wait:
             return None
         self._sent_at = now
--- a/src/aspenfold/_internal/leases/contest.py
+++ b/src/aspenfold/_internal/leases/contest.py
@@ -20,8 +20,9 @@
 """A lease that was not renewed for so long is free.  Maps shift every
 few seconds at most; a leader's end is told by a release anyway."""
 
-JITTER = datetime.timedelta(milliseconds=500)
-"""Spread of those who ask for a free lease: most see it taken first."""
+JITTER = datetime.timedelta(milliseconds=200)
+"""Spread of those who ask for a free lease: most see it taken first.
+The store's answer takes 4 ms, and few contest."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,26 +100,34 @@
         """A higher token was met: another process leads."""
         self._grant = None
 
-    def wish(self, now: datetime.datetime) -> Wish | None:
-        """Return the record to append now, None if there is none."""
-        if self.due_in(now) > datetime.timedelta(0):
+    def wish(
+        self, now: datetime.datetime, *, silent: bool = False
+    ) -> Wish | None:
+        """Return the record to append now, None if there is none.
+
+        ``silent`` says that the holder used to be heard and is not any
+        more.  If it lives, its orders are fenced by the new token.
+        """
+        if self.due_in(now, silent=silent) > datetime.timedelta(0):
             return None
         if self.token:
             return self._wish(self._name, self.token)
         # The token is the offset that the record will have, from 1.
         return self._wish(self._name, self._end + 1)
 
-    def due_in(self, now: datetime.datetime) -> datetime.timedelta:
-        """Return how long there is nothing to append."""
+    def due_in(
+        self, now: datetime.datetime, *, silent: bool = False
+    ) -> datetime.timedelta:
+        """Return how long there is nothing to append; see :meth:`wish`."""
         seen = self._seen_at
         if seen is None:
             return RENEW_AFTER
-        wait = RENEW_AFTER if self.token else self._free_after()
+        wait = RENEW_AFTER if self.token else self._free_after(silent)
         return seen + wait - now
 
-    def _free_after(self) -> datetime.timedelta:
+    def _free_after(self, silent: bool) -> datetime.timedelta:
         """Return how long after its last record the lease is free."""
-        free = self._grant is None or not self._grant.holder
+        free = silent or self._grant is None or not self._grant.holder
         if self._grant is not None and self._grant.host == self._host:
             # Held by the process that ran here before this one.
             free = True
