Refuse a first stream at a full group; show beliefs as metrics

Change: gateway/admission.py refuses a first stream, with code 1103 and when to come back, where no rank has a place free by this gateway's count and its peers'. A caller that came back is always sent on.

Gauges tell plan, its age, the list's age, who reads, follows and leads, skew and budget.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo serve test bench lint types unit functional explore format generate
+.PHONY: demo serve test bench lint types unit functional explore soak format generate
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +40,10 @@
 	ASPENFOLD_PROFILE=explore $(BIN)/python -m pytest tests/unit \
 	    -m 'explores'
 
+# Random faults around real processes, fresh seeds; SEEDS=1-50 for fixed.
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak.main --seeds=$(SEEDS)
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.main
 
--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -39,6 +39,7 @@
     RATE_LIMITED = 1100
     TOO_MANY_IN_FLIGHT = 1101
     OVERLOADED = 1102
+    NO_PLACE = 1103
     NO_ENDPOINT = 1200
     DRAINING = 1201
     DEADLINE_PASSED = 1202
@@ -84,6 +85,7 @@
     Code.RATE_LIMITED: 'the organisation is over its rate',
     Code.TOO_MANY_IN_FLIGHT: 'the organisation has too many calls open',
     Code.OVERLOADED: 'the lane is full, or the wait passes the deadline',
+    Code.NO_PLACE: 'a stream would wait for a place; come back as told',
     Code.NO_ENDPOINT: 'no endpoint of the service takes work now',
     Code.DRAINING: 'the entry or the endpoint is shutting down',
     Code.DEADLINE_PASSED: 'the deadline passed before the call started',
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/admission.py
@@ -0,0 +1,47 @@
+"""Whether a new stream is better refused than queued at a full group.
+
+All ranks of a group advance together and each takes a number of requests
+at once.  Where all places of all ranks are taken, a request that is sent
+waits there, is late, and holds up those behind it.  Refused at once it
+comes back a while later, mostly to free places.
+
+A caller that came back is never refused here: it asks only once more.
+"""
+
+from collections import abc
+import datetime
+
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import plan
+
+RETURNED_SHARE = 0.85
+"""A caller that has less than this of the route's time left has asked
+before; a first request has all of it."""
+
+FULL_PRESSURE = 1.0
+"""Work of the least loaded rank over its places, from which on a new
+stream would wait for a place."""
+
+
+def has_returned(route: plan.Route, left: datetime.timedelta) -> bool:
+    """Return whether a request with ``left`` to go was refused before."""
+    return left < RETURNED_SHARE * route.timeout
+
+
+def is_full(endpoints: abc.Iterable[directory.Endpoint]) -> bool:
+    """Return whether no endpoint has a place free."""
+    return all(e.pressure >= FULL_PRESSURE for e in endpoints)
+
+
+def refuses(
+    route: plan.Route,
+    left: datetime.timedelta,
+    endpoints: abc.Sequence[directory.Endpoint],
+) -> bool:
+    """Return whether a stream is to come back later.
+
+    ``endpoints`` are the ranks that it could be sent to.
+    """
+    if route.kind is not plan.Kind.STREAMING or not endpoints:
+        return False
+    return not has_returned(route, left) and is_full(endpoints)
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 
+from aspenfold._internal.gateway import admission
 from aspenfold._internal.gateway import dialect as dialect_module
 from aspenfold._internal.gateway import directory as directory_module
 from aspenfold._internal.gateway import forwarding
@@ -97,6 +98,15 @@
         known = self.table.plan.services.get(service)
         return known is not None and known.group is not None
 
+    def is_overloaded(
+        self, route: plan_module.Route, service: str, left: datetime.timedelta
+    ) -> bool:
+        """Return whether a request is better refused than queued."""
+        if not self.has_group(service):
+            return False
+        found = self.directory.routable(service, self.clock.now())
+        return admission.refuses(route, left, found)
+
     def choose(
         self, service: str, avoid: set[str]
     ) -> directory_module.Endpoint | None:
@@ -121,6 +131,16 @@
         )
         return policy
 
+    def plan_age(self) -> datetime.timedelta | None:
+        """Return how long the plan has been in force, None for none."""
+        if self.adopted_at is None:
+            return None
+        return self.clock.now() - self.adopted_at
+
+    def least_budget(self) -> float:
+        """Return the fewest attempts left of any service's budget."""
+        return min((b.left for b in self._budgets.values()), default=0.0)
+
     def budget(self, service: str) -> shared.SharedBudget:
         """Return the service's retry budget."""
         known = self._budgets.get(service)
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -95,6 +95,9 @@
         if self._core.refusing:
             self._refuse(Code.DRAINING, 'this process is about to end')
             return None
+        if self._core.is_overloaded(route, self._call.service, left):
+            self._refuse(Code.NO_PLACE, 'all places of all ranks are taken')
+            return None
         return route
 
     def _authenticate(
--- a/src/aspenfold/_internal/gateway/feeds.py
+++ b/src/aspenfold/_internal/gateway/feeds.py
@@ -92,6 +92,7 @@
         self._changed: list[ports.Record] = []
         self._absent: list[str] = []
         self._failures = 0
+        self._read_at: datetime.datetime | None = None
         self._failed_at: datetime.datetime | None = None
         self._lost = False
         self._check_until: datetime.datetime | None = None
@@ -235,9 +236,15 @@
                 self._failures += 1
             await asyncio.sleep(wait.total_seconds())
 
+    def list_age(self) -> datetime.timedelta | None:
+        """Return the age of what is known of endpoints, None for none."""
+        known = [t for t in (self._read_at, self._source.news_at) if t]
+        return self._clock.now() - max(known) if known else None
+
     def _tell_changes(self) -> None:
         """Pass on what the reading brought, or that it brought nothing."""
         self._failures = 0
+        self._read_at = self._clock.now()
         changed, self._changed = self._changed, []
         absent, self._absent = self._absent, []
         if not changed and not absent:
--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -104,6 +104,7 @@
         self._hurried = False
         self.fenced = False
         self.changes = 0
+        self.skew = 0.0
 
     async def run(self) -> None:
         """Lead until fenced or cancelled."""
@@ -291,6 +292,7 @@
         )
         paces = [self._paces.get(r, 1.0) for r in sorted(self._endpoints)]
         now_skew = await self._skew(shape, loads, paces)
+        self.skew = now_skew
         if not self._worth_planning(now_skew):
             return None
         after = 0.0
--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -77,6 +77,17 @@
         """Whether this process leads."""
         return self._led != 0
 
+    @property
+    def changes(self) -> int:
+        """Changes of map that were begun in this term."""
+        return sum(leader.changes for leader, _ in self._leaders.values())
+
+    @property
+    def skew(self) -> float:
+        """The largest mean skew of a group's sets as last estimated."""
+        skews = (leader.skew for leader, _ in self._leaders.values())
+        return max(skews, default=0.0)
+
     async def run(self) -> None:
         """Contest and lead for ever."""
         try:
--- a/src/aspenfold/_internal/gateway/refusal.py
+++ b/src/aspenfold/_internal/gateway/refusal.py
@@ -12,6 +12,7 @@
     Code.NO_FLEET: 503,
     Code.NO_ENDPOINT: 503,
     Code.OVERLOADED: 503,
+    Code.NO_PLACE: 503,
     Code.DRAINING: 503,
     Code.GROUP_DOWN: 503,
     Code.ENDPOINT_LOST: 502,
@@ -26,6 +27,8 @@
     Code.NO_ENDPOINT: datetime.timedelta(seconds=1),
     # About as long as one request in six takes to end.
     Code.OVERLOADED: datetime.timedelta(milliseconds=250),
+    # Streams take 1 to 3 s, so that a place is free again.
+    Code.NO_PLACE: datetime.timedelta(seconds=2),
     # A group forms anew some seconds after its rank is back: more than
     # the third of their time that callers wait.
     Code.GROUP_DOWN: datetime.timedelta(seconds=10),
--- a/src/aspenfold/_internal/gateway/source.py
+++ b/src/aspenfold/_internal/gateway/source.py
@@ -133,6 +133,11 @@
         self._failures += 1
         self._probed_at = now
 
+    @property
+    def news_at(self) -> datetime.datetime | None:
+        """When the peer that is followed was heard of last."""
+        return self._news_at
+
     # -- decisions -------------------------------------------------------
 
     @property
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -20,6 +20,7 @@
 from aspenfold._internal.network import datagrams
 from aspenfold._internal.network import http1_server
 from aspenfold._internal.observability import events
+from aspenfold._internal.processes import gateway_metrics
 from aspenfold._internal.processes import tasks
 
 BALANCER_WAIT_S = 3.0
@@ -111,7 +112,14 @@
         self._metrics = self._server(self._answer_metrics)
         self._news = self._server(self._publisher.handle)
         self._in_flight = 0
-        self._core.metrics.gauge('in_flight', lambda: self._in_flight)
+        gateway_metrics.register(
+            core=self._core,
+            feeds=self._feeds,
+            source=self._source,
+            publisher=self._publisher,
+            duty=self._duty,
+            in_flight=lambda: self._in_flight,
+        )
 
     def _server(self, handler: http1_server.Handler) -> http1_server.Server:
         return http1_server.Server(
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -343,6 +343,29 @@
     play(scene)
 
 
+def test_a_full_group_is_not_queued_at_by_a_first_request() -> None:
+    """It is told when to come back, and is then sent on."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1', workers.hang, 'model')
+        worker.slots = 1
+        await rig.store.put(rigs.members.TOPIC, 'w-1', worker.entry('model'))
+        await rig.ready()
+        _, writer = await rig.connect()
+        writer.write(rig.head('/model/')[1])
+        await rigs.until(lambda: worker.runs)
+        answer = await rig.ask('/model/')
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 0
+        assert len(worker.arrivals) == 1
+        worker.script = workers.stream
+        left = {'X_Aspenfold_Deadline_Remaining_Ms': '3000'}
+        assert (await rig.ask('/model/', **left)).status == 200
+        writer.close()
+
+    play(scene)
+
+
 @pytest.mark.parametrize('how', ['draining', 'removed'])
 def test_an_endpoint_that_leaves_gets_no_more(how: str) -> None:
     """From its own word in the store, or its removal."""
--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -90,7 +90,18 @@
         await wait_ready(health)
         status, text = await get(settings.METRICS_PORT, '/metrics')
         assert status == 200
-        assert b'aspenfold_in_flight' in text
+        for name in (
+            'in_flight',
+            'plan_version 1.0',
+            'plan_age_seconds',
+            'list_age_seconds',
+            'reads_store 1.0',
+            'store_lost 0.0',
+            'leads_groups',
+            'map_skew',
+            'retry_budget_left',
+        ):
+            assert f'aspenfold_{name}'.encode() in text, name
         process.send_signal(signal.SIGHUP)
         reader, writer = await asyncio.open_connection(ADDRESS, callers)
         writer.write(rig.head('/stream/')[1])
--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,140 @@
+"""A short soak, and each seed that ever failed; see tests/soak."""
+
+import asyncio
+import json
+import pathlib
+import time
+
+from aspenfold_standins import http11
+import pytest
+
+from tests.soak import ledger as ledger_module
+from tests.soak import main
+from tests.soak import promises
+from tests.soak import system as system_module
+
+SEEDS = [
+    entry['seed']
+    for entry in json.loads(
+        (pathlib.Path(main.__file__).parent / 'seeds.json').read_text()
+    )
+]
+
+FIXED_SEED = 1
+DURATION_S = 8.0
+
+
+@pytest.mark.parametrize('seed', [FIXED_SEED, *SEEDS])
+def test_all_promises_hold_under_faults(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Requests are served meanwhile, and nothing is broken."""
+    result = asyncio.run(
+        main.soak(seed=seed, duration_s=DURATION_S, folder=tmp_path)
+    )
+    assert result.broken == [], result.faults
+    assert result.served
+
+
+class Scene:
+    """A checker over what a test says that was seen."""
+
+    def __init__(self, tmp_path: pathlib.Path) -> None:
+        self.ledger = ledger_module.Ledger()
+        self.system = system_module.System(
+            folder=tmp_path, rng=main.random.Random(1), gateways=0
+        )
+        self.worker = system_module.platform_worker.Worker('w')
+        self.endpoint = system_module.Endpoint(
+            worker=self.worker,
+            link=system_module.links.Link(host='127.0.0.1', port=1),
+            service='plain',
+        )
+        self.system.endpoints.append(self.endpoint)
+
+    def asked(
+        self, path: str, status: int = 0, body: bytes = b'', whole: bool = True
+    ) -> ledger_module.Asked:
+        """Note a request and its answer."""
+        found = ledger_module.Asked(
+            attempt='soak-1',
+            path=path,
+            gateway='g',
+            incarnation=1,
+            sent_at=time.monotonic(),
+        )
+        found.ended_at = found.sent_at
+        found.answer = promises.callers.gateway_rig.Answer(
+            status=status,
+            headers={promises.platform_worker.SEAL.lower(): 's'},
+            body=body,
+            whole=whole,
+        )
+        self.ledger.add(found)
+        return found
+
+    def arrived(self, attempt: str, at: float, **headers: str) -> None:
+        """Note an arrival at the endpoint."""
+        named = {promises.platform_worker.ATTEMPT: attempt, **headers}
+        self.worker.arrivals.append(
+            http11.Request(
+                method='GET',
+                target='/',
+                headers=named,
+                body=b'',
+                arrived_at=at,
+            )
+        )
+
+    def broken(self) -> str:
+        """Return what the checker finds, in one text."""
+        checker = promises.Checker(
+            system=self.system, ledger=self.ledger, probers=[]
+        )
+        return '; '.join(checker.check())
+
+
+def test_the_checker_sees_each_broken_promise(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A check that cannot fail proves nothing."""
+    scene = Scene(tmp_path)
+    scene.asked('/unsafe/', 503)
+    scene.worker.runs['soak-1'] = 2
+    found = scene.broken()
+    assert 'ran 2 times' in found
+    assert 'ran and was told 503' in found
+
+    scene = Scene(tmp_path)
+    scene.asked('/stream/', 200, promises.EVENTS[1])
+    assert 'out of order' in scene.broken()
+
+    scene = Scene(tmp_path)
+    scene.asked('/safe/', 200, b'answer to another')
+    assert "got b'answer to another'" in scene.broken()
+
+    scene = Scene(tmp_path)
+    scene.asked('/safe/', 200, b'', whole=False)
+    scene.worker.runs['soak-1'] = 1
+    assert 'was cut' in scene.broken()
+
+    scene = Scene(tmp_path)
+    scene.asked('/safe/', 404)
+    assert 'was told 404' in scene.broken()
+
+    scene = Scene(tmp_path)
+    scene.asked('/safe/', 503)
+    scene.endpoint.leaving_at = time.monotonic() - 9
+    scene.arrived('soak-1', time.monotonic(), authorization='k')
+    scene.arrived('nobody', time.monotonic())
+    found = scene.broken()
+    assert 'after it was leaving' in found
+    assert 'got the key' in found
+    assert "got organisation ''" in found
+    assert 'nobody sent' in found
+
+    scene = Scene(tmp_path)
+    scene.system.group.violation = (
+        system_module.group_module.rank_world.Violation('two')
+    )
+    assert 'mixed maps' in scene.broken()
