--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -144,8 +144,8 @@
 
     async def start(self) -> None:
         """Listen, and begin to learn the plan and the endpoints."""
-        self._tasks.spawn(self._feeds.follow_plan())
-        self._tasks.spawn(self._feeds.follow_list())
+        self._tasks.spawn(self._feeds.plan.follow())
+        self._tasks.spawn(self._feeds.list.follow())
         self._tasks.spawn(self._roster.run())
         self._tasks.spawn(self._tell_peers())
         self._tasks.spawn(self._follower.run())
@@ -178,7 +178,7 @@
                 return
             now = self._clock.now()
             self._source.heard(news.host, news.zone, news.reads, now)
-            self._feeds.hint(news.plan_offset)
+            self._feeds.plan.hint(news.plan_offset)
 
         socket = await datagrams.listen(
             self._cfg.address, self._cfg.peer_port, receive
@@ -187,7 +187,7 @@
             await asyncio.sleep(PEER_TICK_S)
             now = self._clock.now()
             self._peers.forget_silent(now)
-            self._peers.plan_offset = self._feeds.plan_offset
+            self._peers.plan_offset = self._feeds.plan.offset
             self._peers.reads = self._source.reads(now)
             data = self._peers.datagram(now)
             if data is not None:
--- a/tests/unit/test_gateway_feeds.py
+++ b/tests/unit/test_gateway_feeds.py
@@ -104,15 +104,15 @@
         """Read the list once."""
         self.store.pages = [page]
         try:
-            asyncio.run(self.feeds._list_once())
+            asyncio.run(self.feeds.list.once())
         except ports.StoreUnavailable as exc:
-            self.feeds._failed('list', exc)
-        self.feeds._settle()
+            self.feeds.state.failed('list', exc)
+        self.feeds.list.settle()
 
     def read_plan(self, page: ports.Page) -> None:
         """Read the plan once."""
         self.store.pages = [page]
-        asyncio.run(self.feeds._plan_once())
+        asyncio.run(self.feeds.plan.once())
 
     def routable(self) -> list[str]:
         """Return which endpoints may get a request."""
@@ -169,7 +169,7 @@
     scene = begun()
     scene.read_list(page((2, 'a', b'draining')))
     assert scene.routable() == ['b']
-    scene.feeds._list_offset = None
+    scene.feeds.list._next = None
     scene.read_list(page((0, 'a', b'ready'), (1, 'b', b'ready'), end=2))
     scene.read_list(page((3, 'a', b'ready')))
     assert scene.routable() == ['b']
@@ -180,7 +180,7 @@
     scene = begun()
     scene.read_list(page((2, 'a', None)))
     assert scene.routable() == ['b']
-    scene.feeds._list_offset = None
+    scene.feeds.list._next = None
     scene.read_list(page((0, 'a', b'ready'), (1, 'b', b'ready'), end=2))
     assert scene.routable() == ['b']
 
@@ -236,7 +236,7 @@
     """Its end lies before what was read already."""
     scene = begun()
     scene.read_list(page((2, 'c', b'ready')))
-    scene.feeds._check_until = scene.clock.now() + 10 * SECOND
+    scene.feeds.state._check_until = scene.clock.now() + 10 * SECOND
     scene.read_list(page((0, 'a', b'ready'), end=1))
     assert scene.routable() == ['a', 'b', 'c']
 
@@ -269,7 +269,7 @@
     scene.read_plan(page((0, 'plan', b'7')))
     scene.store.trimmed = True
     scene.read_plan(page())
-    scene.feeds._check_until = None
+    scene.feeds.state._check_until = None
     scene.read_plan(page((9, 'plan', b'12'), end=10))
     assert versions(scene) == [7, 12]
 
@@ -280,18 +280,18 @@
     async def run() -> None:
         scene = Scene()
         scene.store.pages = [page((0, 'plan', b'7'))]
-        await scene.feeds._plan_once()
+        await scene.feeds.plan.once()
         scene.store.lost = True
-        reading = asyncio.ensure_future(scene.feeds._plan_once())
+        reading = asyncio.ensure_future(scene.feeds.plan.once())
         await asyncio.sleep(0)
-        scene.feeds.hint(0)
+        scene.feeds.plan.hint(0)
         await asyncio.sleep(0)
         assert not reading.done()
-        scene.feeds.hint(4)
+        scene.feeds.plan.hint(4)
         await reading
         scene.store.lost = False
         scene.store.pages = [page((4, 'plan', b'9'))]
-        await scene.feeds._plan_once()
+        await scene.feeds.plan.once()
         assert versions(scene) == [7, 9]
 
     asyncio.run(run())
@@ -339,11 +339,11 @@
 def test_what_is_read_is_passed_on_once() -> None:
     """A heartbeat alone is no news, but shows that the reader lives."""
     scene = begun()
-    scene.feeds._tell_changes()
+    scene.feeds.list.tell_changes()
     scene.read_list(page((2, 'a', b'ready'), (3, 'b', b'draining')))
-    scene.feeds._tell_changes()
+    scene.feeds.list.tell_changes()
     scene.read_list(page((4, 'a', b'ready')))
-    scene.feeds._tell_changes()
+    scene.feeds.list.tell_changes()
     told = [
         news and [(r.key, r.value) for r in news.records]
         for news in scene.published
@@ -370,9 +370,9 @@
 def test_an_endpoint_that_is_gone_does_not_return_by_an_old_reading() -> None:
     """Also if there was no record of its removal."""
     scene = begun()
-    scene.feeds._list_offset = None
+    scene.feeds.list._next = None
     scene.read_list(page((1, 'b', b'ready'), end=6))
     assert scene.routable() == ['b']
-    scene.feeds._list_offset = None
+    scene.feeds.list._next = None
     scene.read_list(page((5, 'a', b'ready'), (1, 'b', b'ready'), end=6))
     assert scene.routable() == ['b']
