--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -367,8 +367,10 @@
 
     def _send(self, event: typing.Any) -> None:
         data = self._parser.send(event)
-        if data and self._transport is not None:
-            self._transport.write(data)
+        transport = self._transport
+        # A write that failed shows here before connection_lost is called.
+        if data and transport is not None and not transport.is_closing():
+            transport.write(data)
 
     # -- for the server --------------------------------------------------
 
