Let a repeated SIGTERM not spoil an orderly end; tell the age of lost news

A SIGTERM came after the loop had removed its handlers. Now the signals are blocked once the gateway has drained. The program's test repeats the signal each millisecond; it failed before.

NEWS_LOST lacked the age of the last news, as the traced incident showed.

--- a/src/aspenfold/_internal/gateway/relay.py
+++ b/src/aspenfold/_internal/gateway/relay.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import datetime
 
 import orjson
 
@@ -25,6 +26,8 @@
 CONNECT_TIMEOUT_S = 0.3
 """As for endpoints: the longest round trip between zones is 3 ms."""
 
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 POLL_S = 0.1
 """How often a follower looks whether it should follow, or another."""
 
@@ -191,8 +194,8 @@
                 TimeoutError,
                 ValueError,
             ) as exc:
-                self._source.dropped(host, self._clock.now())
                 self._tell_end(host, str(exc) or 'no news in time')
+                self._source.dropped(host, self._clock.now())
 
     async def _connect_and_follow(
         self, host: str, address: settings.TcpAddress
@@ -217,8 +220,8 @@
         async with asyncio.timeout(limit):
             head = await connection.head()
         if head.status_code != 200:
-            self._source.ended(host)
             self._tell_end(host, f'it answered {head.status_code}')
+            self._source.ended(host)
             return
         events.emit(events.Event.NEWS_FOLLOWED, peer=host)
         rest = b''
@@ -226,15 +229,22 @@
             async with asyncio.timeout(limit):
                 data = await connection.data()
             if data is None:
-                self._source.ended(host)
                 self._tell_end(host, 'it reads no more')
+                self._source.ended(host)
                 return
             rest = self._take_lines(host, rest + data)
-        self._source.left(host)
         self._tell_end(host, 'another goes before it')
+        self._source.left(host)
 
     def _tell_end(self, host: str, reason: str) -> None:
-        events.emit(events.Event.NEWS_LOST, peer=host, reason=reason[:200])
+        last = self._source.news_at
+        age = None if last is None else self._clock.now() - last
+        events.emit(
+            events.Event.NEWS_LOST,
+            peer=host,
+            reason=reason[:200],
+            age_ms=age and age // MILLISECOND,
+        )
 
     def _take_lines(self, host: str, data: bytes) -> bytes:
         *lines, rest = data.split(b'\n')
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -32,6 +32,8 @@
 
 DRAIN_POLL_S = 0.05
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 PEER_TICK_S = 0.025
 """How often to look whether peers are due news."""
 
@@ -131,12 +133,15 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is in flight."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
         await self._stop.wait()
         await self.drain()
+        # The loop's handlers go with the loop; a repeated SIGTERM must not
+        # turn an orderly end into a killed process.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
 
     def stop(self) -> None:
         """Begin to end; asking twice changes nothing."""
--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -58,6 +58,13 @@
             await asyncio.sleep(0.02)
 
 
+async def repeat_sigterm(process: asyncio.subprocess.Process) -> None:
+    """Ask it to end again and again, until it has."""
+    while process.returncode is None:
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.001)
+
+
 async def play(tmp_path: pathlib.Path) -> tuple[int, str]:
     """Run the program through a stream and both signals, to its end."""
     rig = rigs.Rig()
@@ -108,10 +115,12 @@
         await rigs.until(lambda: worker.runs)
         process.send_signal(signal.SIGTERM)
         process.send_signal(signal.SIGTERM)
+        again = asyncio.ensure_future(repeat_sigterm(process))
         answer = await rigs.read_answer(reader)
         assert answer.whole
         assert answer.body.count(b'data:') == worker.events
         output, _ = await asyncio.wait_for(process.communicate(), rigs.WAIT_S)
+        await again
         return process.returncode or 0, output.decode()
     finally:
         if process.returncode is None:
