--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -15,6 +15,7 @@
 from aspenfold._internal.commands import exits
 from aspenfold.platform import settings
 from tests.lib import gateway_rig as rigs
+from tests.lib import signals
 
 ADDRESS = '127.0.0.9'
 """An address of its own, since the metrics port is fixed."""
@@ -60,9 +61,11 @@
 
 async def repeat_sigterm(process: asyncio.subprocess.Process) -> None:
     """Ask it to end again and again, until it has."""
+    target = signals.Target(pid=process.pid)
     while process.returncode is None:
-        process.send_signal(signal.SIGTERM)
+        target.send(signal.SIGTERM)
         await asyncio.sleep(0.001)
+    target.close()
 
 
 async def play(tmp_path: pathlib.Path) -> tuple[int, str]:
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -19,6 +19,7 @@
 from aspenfold.platform import members
 from aspenfold.platform import settings
 from tests.lib import gateway_rig
+from tests.lib import signals
 from tests.soak import group as group_module
 from tests.soak import links
 
@@ -42,6 +43,7 @@
 
     gateway: str
     process: asyncio.subprocess.Process
+    target: signals.Target
     log: pathlib.Path
     asked_to_end: bool = False
     killed: bool = False
@@ -100,7 +102,12 @@
             process = await asyncio.create_subprocess_exec(
                 *PROGRAM, env=variables, stdout=output, stderr=output
             )
-        found = Incarnation(gateway=self.name, process=process, log=log)
+        found = Incarnation(
+            gateway=self.name,
+            process=process,
+            target=signals.Target(pid=process.pid),
+            log=log,
+        )
         self.incarnations.append(found)
         return found
 
@@ -115,7 +122,7 @@
             found.killed = True
         if number in (signal.SIGSTOP, signal.SIGCONT):
             found.paused = number is signal.SIGSTOP
-        found.process.send_signal(number)
+        found.target.send(number)
 
     async def ready(self) -> bool:
         """Ask for its health, as the balancer does."""
@@ -204,9 +211,10 @@
             found = gateway.current
             if found is not None and found.process.returncode is None:
                 gateway.signal(signal.SIGCONT)
-                found.killed = True
-                found.process.kill()
+                gateway.signal(signal.SIGKILL)
                 await found.process.wait()
+            for incarnation in gateway.incarnations:
+                incarnation.target.close()
             await gateway.front.stop()
             await gateway.store.stop()
         for endpoint in [*self.endpoints, *self.gone]:
