Let a record that is no text stop no reader

Cause, found by reading: news encodes values as text, and a value that is not would have ended the loop that reads the plan or the list. Such a value is passed on spoilt; a follower rejects it as the reader did. The test failed before.

--- a/src/aspenfold/_internal/gateway/relay.py
+++ b/src/aspenfold/_internal/gateway/relay.py
@@ -57,15 +57,20 @@
 
 
 def encode(news: News) -> bytes:
-    """Return a line; a value is text, as all values in the store are."""
-    records = [
-        [r.offset, r.key, None if r.value is None else r.value.decode()]
-        for r in news.records
-    ]
+    """Return a line; values are text.
+
+    One that is not is spoilt here, and rejected by readers as it was by
+    this one.
+    """
+    records = [[r.offset, r.key, _text(r.value)] for r in news.records]
     line = [news.topic, news.end, records, news.absent, news.whole]
     return orjson.dumps(line) + b'\n'
 
 
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode('utf-8', 'replace')
+
+
 def decode(line: bytes) -> News:
     """Return the news of a line; raises ``ValueError`` if it is none."""
     try:
--- a/tests/unit/test_gateway_feeds.py
+++ b/tests/unit/test_gateway_feeds.py
@@ -376,3 +376,18 @@
     scene.feeds.list._next = None
     scene.read_list(page((5, 'a', b'ready'), (1, 'b', b'ready'), end=6))
     assert scene.routable() == ['b']
+
+
+def test_a_record_that_is_no_text_stops_no_reader() -> None:
+    """It is rejected here, and by a follower too."""
+    scene = begun()
+    scene.read_plan(page((0, 'plan', b'7')))
+    scene.read_plan(page((1, 'plan', b'\xff\xfe')))
+    for news in scene.published:
+        assert news is None or relay.encode(news)
+    other = Scene()
+    for news in scene.feeds.snapshot():
+        other.feeds.relayed(relay.decode(relay.encode(news)))
+    assert other.routable() == ['a', 'b']
+    assert versions(scene) == [7]
+    assert versions(other) == []
