--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -17,8 +17,8 @@
 from tests.lib import gateway_rig as rigs
 from tests.lib import signals
 
-ADDRESS = '127.0.0.9'
-"""An address of its own, since the metrics port is fixed."""
+ADDRESS = f'127.9.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}'
+"""An address of this run's own, since the metrics port is fixed."""
 
 PROGRAM = [
     sys.executable,
