Decide in one place what is left to a zone's reader; one copy of a constant

The process's shell judged when the lease and the roster rest; Source does now, with a test. The pace of resting loops stood in both feeds, an unused member in the roster, and the soak spelt out rates that the histories have. CHECK_SPAN says what it is the span of. Behaviour is the same.

--- a/src/aspenfold/_internal/gateway/list_feed.py
+++ b/src/aspenfold/_internal/gateway/list_feed.py
@@ -23,9 +23,6 @@
 RETRY_WAIT = datetime.timedelta(milliseconds=150)
 """Wait after a failed call, doubled each time up to a limit."""
 
-REST_S = 0.1
-"""How often a resting loop looks whether it must read again."""
-
 MAX_REMEMBERED = 20_000
 """Endpoints whose last offset is kept: over the 12,000 aimed for."""
 
@@ -67,7 +64,7 @@
             self.settle()
             pace = self._source.pace(self._clock.now())
             if pace is source_module.Pace.NONE:
-                await asyncio.sleep(REST_S)
+                await asyncio.sleep(store_state.REST_S)
                 continue
             wait = LIST_INTERVAL
             try:
--- a/src/aspenfold/_internal/gateway/plan_feed.py
+++ b/src/aspenfold/_internal/gateway/plan_feed.py
@@ -22,9 +22,6 @@
 """How long a read goes on after a peer told of a newer plan: its own
 answer is mostly on the way."""
 
-REST_S = 0.1
-"""How often a resting loop looks whether it must read again."""
-
 CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
 """Pace of whole readings after the history was trimmed, since the
 store's readings may then be some seconds old."""
@@ -71,7 +68,7 @@
         """Read the plan for ever."""
         while True:
             if self._rests():
-                await asyncio.sleep(REST_S)
+                await asyncio.sleep(store_state.REST_S)
                 continue
             try:
                 await self.once()
@@ -92,7 +89,7 @@
     async def _until_answered(self) -> None:
         """Wait until the list's loop has found the store again."""
         while self._state.lost and self._pace() is not source_module.Pace.NONE:
-            await asyncio.sleep(REST_S)
+            await asyncio.sleep(store_state.REST_S)
 
     async def once(self) -> None:
         """Read the plan once, waiting for news if one is known."""
--- a/src/aspenfold/_internal/gateway/roster.py
+++ b/src/aspenfold/_internal/gateway/roster.py
@@ -50,7 +50,6 @@
         self._peers = peers
         self._known: dict[str, settings.TcpAddress] = {}
         self._end: int | None = None
-        self._written = False
 
     async def run(self) -> None:
         """Follow the topic for ever."""
--- a/src/aspenfold/_internal/gateway/source.py
+++ b/src/aspenfold/_internal/gateway/source.py
@@ -33,7 +33,6 @@
 """How often a gateway that the store turned away asks it again, while a
 peer gives it the news."""
 
-
 LOST_AFTER = 2
 """Calls of the store that fail in a row until it counts as lost: one
 answer may be lost, and followers would all begin to read."""
@@ -177,6 +176,15 @@
         """Return whether peers have had time to be heard."""
         return now >= self._settles_at
 
+    def rests(self, now: datetime.datetime) -> bool:
+        """Return whether what one gateway a zone does is left to others.
+
+        Also while the store does not answer: calls would only fail.
+        """
+        if self.lost or not self.settled(now):
+            return True
+        return self.pace(now) is Pace.NONE
+
     def reads(self, now: datetime.datetime) -> bool:
         """Return whether others may follow this gateway."""
         if self.lost or not self._answered:
--- a/src/aspenfold/_internal/gateway/store_state.py
+++ b/src/aspenfold/_internal/gateway/store_state.py
@@ -11,7 +11,11 @@
 to an outage: the store's 2 s, and a reading of the list."""
 
 CHECK_SPAN = datetime.timedelta(seconds=8)
-"""How long they go on: over the 6 s by which readings are late."""
+"""How long whole readings go on after a trim: over the 6 s by which
+readings are late then."""
+
+REST_S = 0.1
+"""How often a resting loop looks whether it must read again."""
 
 
 class StoreState:
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -200,14 +200,7 @@
                     socket.send(data, address.host, address.port)
 
     def _rests(self) -> bool:
-        """Return whether what one gateway a zone does is left to others.
-
-        Also while the store does not answer: calls would only fail.
-        """
-        now = self._clock.now()
-        if self._source.lost or not self._source.settled(now):
-            return True
-        return self._source.pace(now) is source_module.Pace.NONE
+        return self._source.rests(self._clock.now())
 
     def _snapshot(self) -> list[relay.News]:
         return [self._roster.snapshot(), *self._feeds.snapshot()]
--- a/tests/soak/group.py
+++ b/tests/soak/group.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import json
 import random
 import typing
@@ -35,16 +36,7 @@
     ranks.Answer.FENCED: 412,
 }
 
-NO_LEADERS = rank_world.Faults(
-    late=0,
-    answer_lost=0,
-    lost=0,
-    crash=0,
-    leader_kill=0,
-    leader_pause=0,
-    leader_start=0,
-    idle=0.3,
-)
+NO_LEADERS = dataclasses.replace(rank_world.QUIET, leader_start=0, idle=0.3)
 
 CALM = (0.0, 0.0)
 TROUBLED = (0.2, 0.1)
--- a/tests/unit/test_gateway_source.py
+++ b/tests/unit/test_gateway_source.py
@@ -47,6 +47,23 @@
     assert found.follows(START) == ''
 
 
+def test_what_one_gateway_does_is_left_to_readers_that_have_settled() -> None:
+    """Not at a start, nor while the store or a peer's news is away."""
+    found = reader()
+    assert found.rests(START)
+    later = START + source.SETTLE_TIME
+    assert not found.rests(later)
+    found.store_failed(later)
+    assert not found.rests(later)
+    found.store_failed(later)
+    assert found.rests(later)
+    found.store_answered()
+    found.heard('g-1', 'a', True, later)
+    assert not found.rests(later)
+    found.news('g-1', later)
+    assert found.rests(later)
+
+
 def test_late_news_is_no_news() -> None:
     """It reads at once, and does not follow that peer for a while."""
     found = reader()
