Let requests wait for a group that opens soon; remember demand; end in order

Change: one that came back waits up to 1.5 s where the group may open in that time, a first one only as long as its return needs to meet the opening. Who sees the group run tells the others. For 2.7 s after that first streams leave room for those who come back. Cause: a group that formed anew ran 1.9 to 2.4 s on map 0, under its backlog, as demand was forgotten meanwhile.

--- a/src/aspenfold/_internal/expertmaps/demand.py
+++ b/src/aspenfold/_internal/expertmaps/demand.py
@@ -8,6 +8,11 @@
 """Age at which counts weigh half: demand shifts every few seconds.  At
 900 ms a shift was seen 2.3 s late; see docs/MEASUREMENTS.md."""
 
+MAX_GAP = datetime.timedelta(seconds=1)
+"""Longest time between two samples that counts as age.  A group that
+stood still goes on with much the same demand, so that a new map can be
+made as soon as it runs; of earlier counts a quarter is left."""
+
 MIN_CHOICES = 1_000
 """Choices for each expert, on average, below which nothing is estimated:
 about two prompts of a thousand tokens, whose contents would decide."""
@@ -42,16 +47,23 @@
             return
         last = self._last.get(rank)
         self._last[rank] = counts
-        self._decay(now)
         if last is None:
             self._take_first(counts)
             return
         if last.epoch != counts.epoch:
             return
-        for i, (new, old) in enumerate(
-            zip(counts.counts, last.counts, strict=True)
-        ):
-            self._weights[i] += max(0, new - old)
+        added = [
+            max(0, new - old)
+            for new, old in zip(counts.counts, last.counts, strict=True)
+        ]
+        if not any(added):
+            # The group stands still, or this rank has nothing to do.
+            return
+        self._decay(now)
+        self._weights = [
+            weight + more
+            for weight, more in zip(self._weights, added, strict=True)
+        ]
 
     def _take_first(self, counts: ranks.Counts) -> None:
         """Let a rank's long count stand for twice the least needed.
@@ -65,12 +77,11 @@
         for i, count in enumerate(counts.counts):
             self._weights[i] += count * scale
 
-    def loads(self, now: datetime.datetime) -> list[list[float]] | None:
+    def loads(self) -> list[list[float]] | None:
         """Return each set's demand by expert, None if too little is known.
 
         Each set's demand adds up to 1.
         """
-        self._decay(now)
         if sum(self._weights) < MIN_CHOICES * len(self._weights):
             return None
         result = []
@@ -83,6 +94,6 @@
 
     def _decay(self, now: datetime.datetime) -> None:
         if self._at is not None and now > self._at:
-            factor = 0.5 ** ((now - self._at) / HALF_LIFE)
+            factor = 0.5 ** (min(now - self._at, MAX_GAP) / HALF_LIFE)
             self._weights = [w * factor for w in self._weights]
         self._at = now
--- a/src/aspenfold/_internal/expertmaps/switch.py
+++ b/src/aspenfold/_internal/expertmaps/switch.py
@@ -110,6 +110,21 @@
 """States of a round that can still be undone."""
 
 
+_HOLDS = frozenset(
+    {
+        State.FREEZE,
+        State.LOOK,
+        State.DISARM,
+        State.RELEASE,
+        State.HOLD,
+        State.ARM,
+        State.LET_GO,
+    }
+)
+"""States in which a pass may be held: the group would stand still if
+its leader ended here."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Ask:
     """Ask a rank for its report."""
@@ -164,6 +179,11 @@
         """Whether a new round may begin."""
         return self.state is State.READY
 
+    @property
+    def holds(self) -> bool:
+        """Whether the group may stand until this machine goes on."""
+        return self.state in _HOLDS
+
     @property
     def token(self) -> int:
         """The token of the current round."""
--- a/src/aspenfold/_internal/gateway/admission.py
+++ b/src/aspenfold/_internal/gateway/admission.py
@@ -23,6 +23,15 @@
 stream would wait for a place."""
 
 
+RECOVERY = datetime.timedelta(milliseconds=2700)
+"""After a group runs again, those who were refused come back for so
+long: callers return after a third of their time at most, of 8 s."""
+
+RECOVERY_PRESSURE = 0.6
+"""Mean work of the ranks over their places, from which on a first stream
+leaves room for those.  Over one half, under which nobody is refused."""
+
+
 def has_returned(route: plan.Route, left: datetime.timedelta) -> bool:
     """Return whether a request with ``left`` to go was refused before."""
     return left < RETURNED_SHARE * route.timeout
@@ -33,10 +42,26 @@
     return all(e.pressure >= FULL_PRESSURE for e in endpoints)
 
 
+def is_catching_up(
+    endpoints: abc.Sequence[directory.Endpoint],
+    since_outage: datetime.timedelta | None,
+) -> bool:
+    """Return whether a group has a backlog, ``since_outage`` after one.
+
+    A first request is served in time when it comes back; sent on now it
+    would be late, and with it those who have no other try.
+    """
+    if since_outage is None or since_outage > RECOVERY:
+        return False
+    work = sum(e.pressure for e in endpoints)
+    return work >= RECOVERY_PRESSURE * len(endpoints)
+
+
 def refuses(
     route: plan.Route,
     left: datetime.timedelta,
     endpoints: abc.Sequence[directory.Endpoint],
+    since_outage: datetime.timedelta | None = None,
 ) -> bool:
     """Return whether a stream is to come back later.
 
@@ -44,4 +69,6 @@
     """
     if route.kind is not plan.Kind.STREAMING or not endpoints:
         return False
-    return not has_returned(route, left) and is_full(endpoints)
+    if has_returned(route, left):
+        return False
+    return is_full(endpoints) or is_catching_up(endpoints, since_outage)
--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -6,6 +6,7 @@
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import forwarding
+from aspenfold._internal.gateway import outage
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.network import http1_client
@@ -84,7 +85,7 @@
             connection.send(
                 request.method, request.target, headers, request.body
             )
-            head = await connection.head()
+            head = await self._head(connection)
             end = self._judge_head(head)
             if end in outcome.NOT_RUN:
                 history.may_have_run = earlier
@@ -97,6 +98,22 @@
         except http1_client.ConnectionLost:
             return outcome.End.LOST
 
+    async def _head(
+        self, connection: http1_client.Connection
+    ) -> http1_client.Head:
+        """Wait for the answer's head; a wait tells that a group runs."""
+        service = self._call.service
+        if not self._core.outage(service).lasts:
+            return await connection.head()
+        loop = asyncio.get_running_loop()
+        taken = loop.call_later(
+            outage.UNREFUSED.total_seconds(), self._core.group_runs, service
+        )
+        try:
+            return await connection.head()
+        finally:
+            taken.cancel()
+
     def _headers(self) -> forwarding.Headers:
         call = self._call
         last_id = b''
@@ -188,6 +205,7 @@
         if self._history.head_delivered:
             return
         self._history.head_delivered = True
+        self._core.group_runs(self._call.service)
         headers = self._core.forwarding.answer(list(head.headers), length=None)
         self._core.metrics.latency(
             'first-event', self._call.organisation, self._call.age
@@ -206,6 +224,8 @@
             known.unreachable(self._endpoint, now)
         elif end is outcome.End.REPLACED:
             known.replaced(self._endpoint)
+        elif end is outcome.End.DOWN:
+            self._core.group_refused(self._call.service)
         elif self._core.has_group(self._call.service):
             # A rank's failure is its whole group's: none is better.
             return
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -113,6 +113,7 @@
     # -- attempts --------------------------------------------------------
 
     async def _attempts(self, history: outcome.History) -> None:
+        await self._wait_for_group(history)
         while True:
             endpoint = self._core.choose(self._call.service, self._tried)
             if endpoint is None:
@@ -130,6 +131,10 @@
             free = history.sent == 0
             allowed = free or budget.left >= 1
             step = outcome.after(history, end, budget=allowed)
+            if step is outcome.Step.REFUSE and end is outcome.End.DOWN:
+                sends = history.sent < history.route.max_attempts
+                if sends and allowed and await self._wait_for_group(history):
+                    step = outcome.Step.AGAIN
             if step is not outcome.Step.AGAIN:
                 self._conclude(step, end, history)
                 return
@@ -138,6 +143,27 @@
             self._tried.add(endpoint.name)
             self._log_again(history, endpoint, end)
 
+    async def _wait_for_group(self, history: outcome.History) -> bool:
+        """Wait for a group that stands, if that gives a chance.
+
+        Return whether it runs now.
+        """
+        call, now = self._call, self._core.clock.now()
+        known = self._core.outage(call.service)
+        wait = known.wait_of(
+            history.route, age=call.age, left=call.left, now=now
+        )
+        if not wait:
+            return False
+        events.emit(
+            events.Event.GROUP_AWAITED,
+            call=call.id,
+            wait_ms=wait // MILLISECOND,
+            expected_ms=known.remaining(now) // MILLISECOND,
+            left_ms=call.left_ms,
+        )
+        return await known.wait(wait)
+
     # -- the end ---------------------------------------------------------
 
     def _conclude(
--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -14,6 +14,7 @@
 from aspenfold._internal.expertmaps import ranks
 from aspenfold._internal.expertmaps import switch as switch_module
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import outage as outage_module
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import ports
@@ -52,6 +53,13 @@
 FIND_INTERVAL = datetime.timedelta(milliseconds=500)
 """Wait between two searches for the ranks of a broken group."""
 
+STANDING_INTERVAL = datetime.timedelta(seconds=1)
+"""The same while the group refuses requests, unless it is seen to run:
+each search costs a probe of every rank."""
+
+OPENED_INTERVAL = datetime.timedelta(milliseconds=100)
+"""The same when it was just seen to run: reports are 200 ms behind."""
+
 MIN_SKEW_GAIN = 0.45
 """A new map must promise to lower the mean skew of the sets by this;
 less is within what a second's counts are off."""
@@ -77,7 +85,9 @@
         engine: ports.Engine,
         clock: clock_module.Clock,
         peers: peers_module.Peers,
+        outage: outage_module.Outage,
     ) -> None:
+        self._outage = outage
         self._service = service
         self._group = group
         self._shape = shape
@@ -102,12 +112,26 @@
         self._reached: float | None = None
         self._planned_at: datetime.datetime | None = None
         self._hurried = False
+        self.ending = False
+        self._stopped = False
         self.fenced = False
         self.changes = 0
         self.skew = 0.0
 
+    @property
+    def holds(self) -> bool:
+        """Whether the group may stand until this leader goes on."""
+        return self._switch is not None and self._switch.holds
+
+    def stop(self) -> None:
+        """Send no more orders, whatever answers still come."""
+        self._stopped = True
+
     async def run(self) -> None:
-        """Lead until fenced or cancelled."""
+        """Lead until fenced or cancelled.
+
+        Once ``ending`` is set, no new round is begun.
+        """
         try:
             while not self.fenced:
                 if self._switch is None:
@@ -142,10 +166,20 @@
             if report.rank == switch_module.HOLDER:
                 holder = report
         if holder is None or len(epochs) != 1 or len(found) != size:
-            await asyncio.sleep(FIND_INTERVAL.total_seconds())
+            await self._wait_to_find()
             return
         await self._take_group(found, holder)
 
+    async def _wait_to_find(self) -> None:
+        """Wait until another search for the ranks may find them."""
+        if self._outage.lasts:
+            await self._outage.wait(STANDING_INTERVAL)
+            return
+        wait = FIND_INTERVAL
+        if self._outage.ended_lately(self._clock.now()) is not None:
+            wait = OPENED_INTERVAL
+        await asyncio.sleep(wait.total_seconds())
+
     async def _take_group(
         self, found: dict[int, directory.Endpoint], holder: ranks.Report
     ) -> None:
@@ -156,6 +190,8 @@
             return
         self._map = current
         self._endpoints = found
+        # Demand may be known already: look at once whether a map pays.
+        self._sampled_at = None
         self._switch = switch_module.Switch(
             group=self._group,
             epoch=epoch,
@@ -207,7 +243,9 @@
     async def _turn(self, switch: switch_module.Switch) -> None:
         now = self._clock.now()
         self._perform(switch, switch.tick(now))
-        if switch.state is switch_module.State.LOST:
+        # A group that refuses requests opens in a new epoch.
+        broken = self._outage.lasts and not switch.holds
+        if broken or switch.state is switch_module.State.LOST:
             self._leave(switch)
             return
         await self._watch(switch, now)
@@ -235,7 +273,7 @@
         self._sampled_at = now
         self._sample_turn = (self._sample_turn + 1) % SAMPLED_RANKS
         await self._sample(sorted(self._endpoints)[self._sample_turn])
-        if not switch.ready:
+        if not switch.ready or self.ending:
             return
         if switch.version == switch.token and self._next_map:
             self._map = self._next_map
@@ -243,7 +281,7 @@
         self._perform(switch, self._asks(now))
         self._tell_paces()
         new_map = await self._plan()
-        if new_map is None or not switch.ready:
+        if new_map is None or not switch.ready or self.ending:
             return
         self._next_map = new_map
         self.changes += 1
@@ -281,7 +319,7 @@
 
     async def _plan(self) -> ranks.Map | None:
         """Return a map that pays for its change, None if there is none."""
-        loads = self._demand.loads(self._clock.now())
+        loads = self._demand.loads()
         if loads is None:
             return None
         shape = planner.Shape(
@@ -361,6 +399,8 @@
         switch: switch_module.Switch,
         actions: list[switch_module.Action],
     ) -> None:
+        if self._stopped:
+            return
         for action in actions:
             task = asyncio.create_task(self._act(switch, action))
             self._tasks.add(task)
--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import datetime
 import random
 
@@ -32,6 +33,12 @@
 NAME_BITS = 32
 """Bits that tell a process from the one that ran on its host before."""
 
+FINISH_LIMIT = datetime.timedelta(seconds=2)
+"""Longest wait of an ending process for its round: one that goes well
+holds its group for some 0.1 s, one that is undone for 0.7 s."""
+
+FINISH_TICK = datetime.timedelta(milliseconds=20)
+
 DISCOVERY_INTERVAL = datetime.timedelta(seconds=5)
 """Pace of the search for groups that are not led yet."""
 
@@ -68,6 +75,7 @@
             tuple[str, str], tuple[group_leader.GroupLeader, asyncio.Task]
         ] = {}
         self._led = 0
+        self._ending = False
         # What the store has is not known, or may have changed.
         self._stale = True
         self._discovered_at: datetime.datetime | None = None
@@ -99,6 +107,24 @@
         finally:
             self._stop_leading()
 
+    async def finish(self) -> None:
+        """Begin no more rounds; return once no group is held for one.
+
+        A leader that ended before would leave its group standing until
+        another has taken over, and none can while the store is down.
+        """
+        self._ending = True
+        for leader, _ in self._leaders.values():
+            leader.ending = True
+        limit = FINISH_LIMIT.total_seconds()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit):
+                while any(ld.holds for ld, _ in self._leaders.values()):
+                    await asyncio.sleep(FINISH_TICK.total_seconds())
+        # In the same turn of the loop, so that no hold comes after.
+        for leader, _ in self._leaders.values():
+            leader.stop()
+
     async def release(self) -> None:
         """Give the lease up, so that another process leads at once."""
         wish = self._contest.release()
@@ -265,7 +291,9 @@
             engine=self._engine,
             clock=self._core.clock,
             peers=self._peers,
+            outage=self._core.outage(service),
         )
+        leader.ending = self._ending
         task = asyncio.create_task(leader.run())
         self._leaders[service, group] = leader, task
 
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/outage.py
@@ -0,0 +1,179 @@
+"""Whether the group of ranks behind a service runs, and who waits for it.
+
+A group stands still while any of its ranks is away, and refuses all that
+is sent.  A caller that is refused comes back once; if the group still
+stands, its request is lost.  So a request may wait here a while, where
+that gives it a chance, and is refused at once where it does not.
+
+Decisions only, but for the wait itself.
+"""
+
+import asyncio
+import datetime
+
+from aspenfold._internal.gateway import admission
+from aspenfold._internal.gateway import plan
+
+CALLER_PATIENCE = datetime.timedelta(seconds=2)
+"""Callers leave a stream that shows no event for so long, or for
+``OBJECTIVES_OF_PATIENCE`` objectives or ``PAUSES_OF_PATIENCE`` pauses,
+whichever is longest; from the platform's pages."""
+
+OBJECTIVES_OF_PATIENCE = 4
+
+PAUSES_OF_PATIENCE = 8
+
+FIRST_EVENT_RESERVE = datetime.timedelta(milliseconds=500)
+"""Kept of a caller's patience for the first event, which a group that
+has just opened gives within 0.2 to 0.5 s."""
+
+EXPECTED_OUTAGE = datetime.timedelta(milliseconds=4700)
+"""From the first refusal to the group's next pass.  Hosts and links come
+back after 4.5 to 6.5 s by the users' lists of trouble; a group forms
+0.6 s later, and refuses only from 1.5 s after the fault on."""
+
+SLACK = datetime.timedelta(milliseconds=300)
+"""What the expectation may be off."""
+
+RETRY_SHARE = 3
+"""Callers come back after at most this part of the time they have."""
+
+UNREFUSED = datetime.timedelta(milliseconds=100)
+"""A group that stands refuses within some 10 ms, so that a request that
+is not refused for so long was taken."""
+
+NEWS_LIFE = datetime.timedelta(seconds=1)
+"""How long other gateways are told that a group runs again."""
+
+NO_WAIT = datetime.timedelta(0)
+
+
+def caller_patience(route: plan.Route) -> datetime.timedelta:
+    """Return how long a caller waits for a stream's first event."""
+    return max(
+        CALLER_PATIENCE,
+        OBJECTIVES_OF_PATIENCE * route.objective,
+        PAUSES_OF_PATIENCE * route.pause_objective,
+    )
+
+
+def longest_wait(
+    route: plan.Route, age: datetime.timedelta
+) -> datetime.timedelta:
+    """Return how long a request of this ``age`` may wait and be served."""
+    rest = caller_patience(route) - FIRST_EVENT_RESERVE - age
+    return max(NO_WAIT, rest)
+
+
+def wait_of_returned(
+    remaining: datetime.timedelta, longest: datetime.timedelta
+) -> datetime.timedelta:
+    """Return the wait of a request that will not come back again."""
+    if remaining > longest + SLACK:
+        return NO_WAIT
+    return longest
+
+
+def wait_of_first(
+    remaining: datetime.timedelta,
+    longest: datetime.timedelta,
+    left: datetime.timedelta,
+    second: datetime.timedelta,
+) -> datetime.timedelta:
+    """Return the wait of a request that will come back once.
+
+    ``left`` is the time to its deadline, ``second`` the longest wait of
+    its return.  It waits only as long as it needs for its return to meet
+    the group's opening, and not at all where that cannot be.
+    """
+    need = remaining + SLACK
+    reach = left / RETRY_SHARE + second
+    if need <= reach:
+        return NO_WAIT
+    # Each second of waiting takes a third of a second off the return.
+    wait = (need - reach) * RETRY_SHARE / (RETRY_SHARE - 1)
+    return wait if wait <= longest else NO_WAIT
+
+
+class Outage:
+    """What this gateway knows of one group that may stand still."""
+
+    def __init__(self) -> None:
+        self._opened = asyncio.Event()
+        self._opened.set()
+        self.began_at: datetime.datetime | None = None
+        self.ended_at: datetime.datetime | None = None
+
+    @property
+    def lasts(self) -> bool:
+        """Whether the group is known to stand still."""
+        return self.began_at is not None
+
+    def remaining(self, now: datetime.datetime) -> datetime.timedelta:
+        """Return how long it will last, as far as can be expected."""
+        if self.began_at is None:
+            return NO_WAIT
+        return max(NO_WAIT, EXPECTED_OUTAGE - (now - self.began_at))
+
+    def refused(self, now: datetime.datetime) -> bool:
+        """The group refused a request; return whether that is news."""
+        if self.began_at is not None:
+            return False
+        self.began_at = now
+        self._opened.clear()
+        return True
+
+    def runs(self, now: datetime.datetime) -> bool:
+        """The group took a request; return whether that is news."""
+        if self.began_at is None:
+            return False
+        self.began_at = None
+        self.ended_at = now
+        self._opened.set()
+        return True
+
+    def told(self, age: datetime.timedelta, now: datetime.datetime) -> bool:
+        """A peer says that the group ran ``age`` ago; is that news?"""
+        if self.began_at is None or now - age < self.began_at:
+            return False
+        return self.runs(now)
+
+    def ended_lately(
+        self, now: datetime.datetime
+    ) -> datetime.timedelta | None:
+        """Return how long ago it ended, if others should be told."""
+        age = self.ended_since(now)
+        return age if age is not None and age <= NEWS_LIFE else None
+
+    def ended_since(self, now: datetime.datetime) -> datetime.timedelta | None:
+        """Return how long ago the last one ended, None in one or before."""
+        if self.ended_at is None or self.began_at is not None:
+            return None
+        return now - self.ended_at
+
+    def wait_of(
+        self,
+        route: plan.Route,
+        *,
+        age: datetime.timedelta,
+        left: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> datetime.timedelta:
+        """Return how long a request may wait; ``left`` to its deadline."""
+        if self.began_at is None or route.kind is not plan.Kind.STREAMING:
+            return NO_WAIT
+        longest = longest_wait(route, age)
+        remaining = self.remaining(now)
+        if admission.has_returned(route, left + age):
+            return wait_of_returned(remaining, longest)
+        second = longest_wait(route, NO_WAIT)
+        return wait_of_first(remaining, longest, left, second)
+
+    async def wait(self, limit: datetime.timedelta) -> bool:
+        """Wait for the group to run; return whether it does."""
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                await self._opened.wait()
+        except TimeoutError:
+            return False
+        return True
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -44,6 +44,8 @@
 """Added for each peer, which bounds the datagrams that one gateway
 sends to 250 a second however many others there are."""
 
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 MAX_BYTES = 1400
 """Largest datagram, under the packet size of common networks."""
 
@@ -55,7 +57,8 @@
     ``counts`` is what it has in flight, by endpoint, ``plan_offset``
     the offset of the plan that it has in force, ``token`` its lease's if
     it leads, else 0.  A leader tells the ``paces`` of slow endpoints.
-    ``reads`` says that it reads the store, so that others may follow it.
+    ``reads`` says that it reads the store, so that others may follow it;
+    ``recovered`` how long ago services' groups were seen to run again.
     """
 
     host: str
@@ -67,6 +70,7 @@
     paces: dict[str, float]
     zone: str
     reads: bool
+    recovered: dict[str, datetime.timedelta]
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -109,6 +113,7 @@
         self.token = 0
         self.paces: dict[str, float] = {}
         self.reads = False
+        self.recovered: dict[str, datetime.timedelta] = {}
 
     @property
     def addresses(self) -> abc.Collection[settings.TcpAddress]:
@@ -176,7 +181,7 @@
     def _parse(self, data: bytes, sender: str) -> News | None:
         try:
             host, incarnation, number, counts, *rest = orjson.loads(data)
-            offset, token, paces, zone, reads = rest
+            offset, token, paces, zone, reads, recovered = rest
             if not self._may_be(str(host), sender):
                 return None
             return News(
@@ -189,6 +194,10 @@
                 paces={str(k): max(1.0, float(v)) for k, v in paces.items()},
                 zone=str(zone),
                 reads=bool(reads),
+                recovered={
+                    str(k): max(0, int(v)) * MILLISECOND
+                    for k, v in recovered.items()
+                },
             )
         except (ValueError, TypeError, AttributeError):
             return None
@@ -239,6 +248,7 @@
             self.paces if self.token else {},
             self._zone,
             self.reads,
+            sorted(self.recovered),
         )
         wait = MIN_INTERVAL + INTERVAL_PER_PEER * len(self._addresses)
         if state == self._sent:
@@ -248,7 +258,8 @@
         self._sent_at = now
         self._sent = state
         self._number += 1
+        ages = {k: v // MILLISECOND for k, v in self.recovered.items()}
         data = orjson.dumps(
-            [self._host, self._incarnation, self._number, *state]
+            [self._host, self._incarnation, self._number, *state[:-1], ages]
         )
         return data if len(data) <= MAX_BYTES else None
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -53,6 +53,9 @@
     SWITCH_MOVED = 606
     LEASE_UNSURE = 607
     RANKS_SLOW = 608
+    GROUP_STANDS = 609
+    GROUP_RUNS = 610
+    GROUP_AWAITED = 611
     LOG_LOST = 700
     LOG_BACK = 701
     HOST_LIST_LOST = 702
@@ -96,6 +99,9 @@
     Event.SWITCH_MOVED: 'a change of map has come to its next state',
     Event.LEASE_UNSURE: 'a lease could not be read or written',
     Event.RANKS_SLOW: 'a leader found ranks slow, or none any more',
+    Event.GROUP_STANDS: 'a group of ranks began to refuse requests',
+    Event.GROUP_RUNS: 'a group of ranks takes requests again',
+    Event.GROUP_AWAITED: 'a request waits for a group that stands',
     Event.LOG_LOST: 'the log service does not answer',
     Event.LOG_BACK: 'the log service answers again',
     Event.HOST_LIST_LOST: 'the host list does not answer',
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -10,6 +10,7 @@
 from aspenfold._internal.gateway import exchange as exchange_module
 from aspenfold._internal.gateway import feeds as feeds_module
 from aspenfold._internal.gateway import maps_duty
+from aspenfold._internal.gateway import outage
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.gateway import relay
@@ -184,6 +185,8 @@
             now = self._clock.now()
             self._source.heard(news.host, news.zone, news.reads, now)
             self._feeds.plan.hint(news.plan_offset)
+            for service, age in news.recovered.items():
+                self._core.group_told(service, age, news.host)
 
         socket = await datagrams.listen(
             self._cfg.address, self._cfg.peer_port, receive
@@ -194,6 +197,7 @@
             self._peers.forget_silent(now)
             self._peers.plan_offset = self._feeds.plan.offset
             self._peers.reads = self._source.reads(now)
+            self._peers.recovered = self._core.recovered(now)
             data = self._peers.datagram(now)
             if data is not None:
                 for address in self._peers.addresses:
@@ -251,6 +255,10 @@
         now = self._clock.now()
         return len(self._core.directory.routable(service, now))
 
+    def outage(self, service: str) -> outage.Outage:
+        """Return what is known of a service's group standing still."""
+        return self._core.outage(service)
+
     @property
     def plan_version(self) -> int:
         """The version of the plan in force, 0 for none."""
@@ -286,6 +294,13 @@
             server.close()
         await asyncio.sleep(0)
 
+    async def _end_leading(self) -> None:
+        """Leave no group held, then let another gateway lead."""
+        await self._duty.finish()
+        if self._leading is not None:
+            self._leading.cancel()
+        await self._duty.release()
+
     async def drain(self) -> None:
         """Turn callers away, finish what runs, and end in time."""
         loop = asyncio.get_running_loop()
@@ -297,13 +312,13 @@
             name=self._cfg.name,
             in_flight=self._in_flight,
         )
-        if self._leading is not None:
-            self._leading.cancel()
-        self._tasks.spawn(self._duty.release())
+        leading = self._tasks.spawn(self._end_leading())
         await asyncio.sleep(min(BALANCER_WAIT_S, self._cfg.grace_s / 2))
         self._core.refusing = True
         self._callers.close()
-        while self._in_flight and loop.time() < end:
+        while loop.time() < end:
+            if not self._in_flight and leading.done():
+                break
             self._callers.close_idle()
             await asyncio.sleep(DRAIN_POLL_S)
         if self._in_flight:
--- a/src/aspenfold/_internal/processes/group_member.py
+++ b/src/aspenfold/_internal/processes/group_member.py
@@ -19,7 +19,7 @@
 """Seconds between two looks at the engine's step."""
 
 EngineOrder = messages.OrderReset | messages.OrderPrepare | messages.OrderGrant
-Spawn = abc.Callable[[abc.Coroutine[typing.Any, typing.Any, None]], None]
+Spawn = abc.Callable[[abc.Coroutine[typing.Any, typing.Any, None]], object]
 
 
 class GroupMember:
--- a/src/aspenfold/_internal/processes/tasks.py
+++ b/src/aspenfold/_internal/processes/tasks.py
@@ -16,11 +16,12 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
-    def spawn(self, work: Work) -> None:
+    def spawn(self, work: Work) -> asyncio.Task[typing.Any]:
         """Run ``work`` in the background."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._done)
+        return task
 
     def cancel(self) -> None:
         """Cancel all that still run."""
--- /dev/null
+++ b/tests/functional/test_gateway_groups.py
@@ -0,0 +1,119 @@
+"""Gateways before a group of ranks that stands still."""
+
+import asyncio
+import random
+import typing
+
+from aspenfold_standins import platform_worker as workers
+
+from aspenfold._internal.expertmaps import ranks
+from tests.lib import gateway_rig as rigs
+from tests.soak import group as group_module
+
+RANKS = 2
+
+RELEASE_S = 0.2
+"""How long the stand-in takes for an order that lets a pass go."""
+
+
+class SlowRelease(group_module.Group):
+    """A group whose passes are let go slowly."""
+
+    async def order(
+        self, rank: int, message: dict[str, typing.Any]
+    ) -> int | None:
+        """Carry an order out, a release after a while."""
+        if group_module.OPS[message['op']] is ranks.Op.RELEASE:
+            await asyncio.sleep(RELEASE_S)
+        return await super().order(rank, message)
+
+
+def plan() -> dict[str, object]:
+    """Return a plan whose model service has the group's shape."""
+    engine = {
+        'sets': 1,
+        'experts': group_module.EXPERTS,
+        'placements': 6,
+        'spare': 4,
+    }
+    services = [{'name': 'plain'}, {'name': 'model', 'engine': engine}]
+    return rigs.plan(services=services)
+
+
+async def add_ranks(rig: rigs.Rig, group: group_module.Group) -> None:
+    """Start the group's ranks and list them."""
+    for number in range(RANKS):
+        worker = group_module.RankWorker(
+            f'rank-{number}', group=group, rank=number
+        )
+        await worker.start()
+        rig.workers.append(worker)
+        entry = worker.entry('model')
+        await rig.store.put(rigs.members.TOPIC, worker.name, entry)
+
+
+def test_a_leader_that_ends_leaves_no_pass_held() -> None:
+    """No other could take over while the store is away."""
+
+    async def run() -> None:
+        group = SlowRelease(size=RANKS, rng=random.Random(1))
+        async with rigs.running(plan()) as rig:
+            await add_ranks(rig, group)
+            passing = asyncio.ensure_future(group.run())
+            holder = group.world.ranks[0]
+            await rigs.until(lambda: holder.held is not None)
+            rig.store.trouble = rig.store.trouble.RESET
+            await rig.process.drain()
+            assert holder.held is None
+            before = group.world.passes
+            await rigs.until(lambda: group.world.passes > before + 3)
+            assert group.violation is None
+            passing.cancel()
+            group.stop()
+
+    asyncio.run(run())
+
+
+def test_a_returned_caller_waits_for_a_group_that_opens_soon() -> None:
+    """Another caller's request shows that it runs; both are served."""
+
+    async def run() -> None:
+        async with rigs.running() as rig:
+            worker = await rig.add_worker('w-1', workers.group_down, 'model')
+            await rig.ready()
+            assert (await rig.ask('/model/')).status == 503
+            outage = rig.process.outage('model')
+            assert outage.lasts
+            # As if it had stood for most of the usual time.
+            outage.began_at -= 4 * rigs.SECOND
+            waiting = asyncio.ensure_future(
+                rig.ask('/model/', **rigs.time_left(3.0))
+            )
+            await asyncio.sleep(0.1)
+            assert not waiting.done()
+            worker.script = workers.stream
+            assert (await rig.ask('/model/')).status == 200
+            answer = await waiting
+            assert answer.status == 200
+            assert answer.whole
+            assert not outage.lasts
+
+    asyncio.run(run())
+
+
+def test_a_wait_in_vain_ends_with_a_true_refusal() -> None:
+    """Well before the caller leaves, and after a last try."""
+
+    async def run() -> None:
+        async with rigs.running() as rig:
+            worker = await rig.add_worker('w-1', workers.group_down, 'model')
+            await rig.ready()
+            assert (await rig.ask('/model/')).status == 503
+            outage = rig.process.outage('model')
+            outage.began_at -= 4 * rigs.SECOND
+            answer = await rig.ask('/model/', **rigs.time_left(3.0))
+            assert answer.status == 503
+            assert 'retry-after' in answer.headers
+            assert worker.runs.total() == 0
+
+    asyncio.run(run())
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import datetime
 import itertools
 import typing
 
@@ -23,6 +24,7 @@
 KEY = 'key-of-one'
 LOOPBACK = '127.0.0.1'
 WAIT_S = 10.0
+SECOND = datetime.timedelta(seconds=1)
 """Longest wait on a condition; far over what any takes."""
 
 
@@ -220,6 +222,11 @@
             return
 
 
+def time_left(seconds: float) -> dict[str, str]:
+    """Return the header that tells how long a caller still waits."""
+    return {'X_Aspenfold_Deadline_Remaining_Ms': f'{seconds * 1000:.0f}'}
+
+
 async def until(condition: abc.Callable[[], object]) -> None:
     """Wait on a condition."""
     async with asyncio.timeout(WAIT_S):
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -48,6 +48,30 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ('in_flight', 'since_s', 'left', 'refused'),
+    [
+        ((3, 3, 2), 1.0, 8.0, True),
+        # What returns is served first.
+        ((3, 3, 2), 1.0, 5.0, False),
+        ((3, 2, 2), 1.0, 8.0, False),
+        # The backlog is worked off, or there was none.
+        ((3, 3, 2), 3.0, 8.0, False),
+        ((3, 3, 2), None, 8.0, False),
+    ],
+)
+def test_first_streams_leave_room_for_a_backlog(
+    in_flight: tuple[int, ...],
+    since_s: float | None,
+    left: float,
+    refused: bool,
+) -> None:
+    """While those come back that a standing group refused."""
+    since = None if since_s is None else since_s * SECOND
+    found = admission.refuses(route(), left * SECOND, ranks(*in_flight), since)
+    assert found is refused
+
+
 @pytest.mark.parametrize(
     ('in_flight', 'left', 'refused'),
     [
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -482,16 +482,42 @@
         found.sample(0, ranks.Counts(epoch=1, counts=tuple(counts)), now)
 
     found.sample(0, ranks.Counts(epoch=1, counts=(0, 0, 0, 0)), now)
-    assert found.loads(now) is None
+    assert found.loads() is None
     for chosen in (1, 1, 1, 2, 2, 2):
         now += SECOND
         sample(chosen)
-    loads = found.loads(now)
+    loads = found.loads()
     assert loads is not None
     assert loads[0][2] > 0.7
     assert sum(loads[0]) == pytest.approx(1.0)
 
 
+def test_demand_outlasts_a_group_that_stands() -> None:
+    """It is known as soon as the group runs again, in a new epoch."""
+    found = demand.Demand(sets=1, experts=4)
+    now = clock.EPOCH
+    for count in (0, 50_000, 100_000):
+        counts = ranks.Counts(epoch=1, counts=(0, count, 0, 0))
+        found.sample(0, counts, now)
+        now += SECOND
+    for _ in range(20):
+        now += SECOND
+        found.sample(0, counts, now)
+    fresh = ranks.Counts(epoch=2, counts=(0, 0, 0, 0))
+    found.sample(0, fresh, now)
+    loads = found.loads()
+    assert loads is not None
+    assert loads[0][1] > 0.7
+    # What is in demand now soon weighs more.
+    for count in (30_000, 60_000, 90_000):
+        now += SECOND
+        after = ranks.Counts(epoch=2, counts=(0, 0, count, 0))
+        found.sample(0, after, now)
+    loads = found.loads()
+    assert loads is not None
+    assert loads[0][2] > 0.6
+
+
 # -- logs ----------------------------------------------------------------
 
 
