Read counts through agents on the ranks' hosts; miss a leader from the start

Cause: a leader knew demand from two ranks' counts, some four requests a second, as each reading pauses the group and is paid for; the worst rank had 2.0 to 2.3 times the mean load, plans promised 1.4. Where no agent answers it goes on as before. Ruled out: orders through agents.

The test of imports names one more command line that may import the adapter; all else in it is as strict.

--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -36,6 +36,11 @@
 """A leader that was not heard for so long is taken to be gone: three
 of its datagrams, and the time that one may be late."""
 
+NEWCOMER_SILENCE = datetime.timedelta(seconds=2)
+"""A process that has heard no leader for so long since its start takes
+it that none is left: leaders tell each 0.2 s all hosts that the roster
+has, and a new host is in it within about a second."""
+
 MIN_INTERVAL = datetime.timedelta(milliseconds=25)
 """Least time between two datagrams to a peer: under the time of a pass,
 so that no slot is filled twice for want of news."""
@@ -92,11 +97,13 @@
         incarnation: str,
         port: int,
         members: directory.Directory,
+        now: datetime.datetime,
     ) -> None:
-        """``incarnation`` is another after each start.
+        """``incarnation`` is another after each start, which is ``now``.
 
         All gateways listen on ``port``.
         """
+        self._started_at = now
         self._host = host
         self._zone = zone
         self._port = port
@@ -167,9 +174,19 @@
         )
 
     def leader_silent(self, now: datetime.datetime) -> bool:
-        """Return whether a peer led when it was heard last, long ago."""
-        heard = list(self._leaders_heard())
-        return bool(heard) and not self.leader_heard(now)
+        """Return whether no peer leads that could be heard.
+
+        Either one led when it was heard last, a while ago, or none was
+        heard since this process started: all may have ended at once.
+        """
+        if not any(True for _ in self._leaders_heard()):
+            return now - self._started_at >= NEWCOMER_SILENCE
+        return not self.leader_heard(now)
+
+    def newcomer(self, now: datetime.datetime) -> bool:
+        """Return whether a leader may be there that was not heard yet."""
+        heard = any(True for _ in self._leaders_heard())
+        return not heard and now - self._started_at < NEWCOMER_SILENCE
 
     def _leaders_heard(self) -> abc.Iterator[datetime.datetime]:
         for peer in self._peers.values():
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -80,6 +80,7 @@
             incarnation=secrets.token_hex(4),
             port=cfg.peer_port,
             members=self._core.directory,
+            now=clock.now(),
         )
         self._follower = relay.Follower(
             source=self._source,
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -172,7 +172,8 @@
             module = getattr(node, 'module', None) or ''
             if module.startswith('aspenfold.platform'):
                 found.add(path.relative_to(SOURCES).as_posix())
-    assert found == {'cli/gateway.py', 'cli/plan.py'}
+    allowed = {'cli/gateway.py', 'cli/plan.py', 'cli/rank_agent.py'}
+    assert found == allowed
 
 
 def test_wire_names_stand_in_the_platform_folder_only() -> None:
@@ -320,7 +321,12 @@
         known = directory.Directory()
         known.listed(listed('w'))
         one = peers.Peers(
-            host=name, zone='z', incarnation='i', port=7, members=known
+            host=name,
+            zone='z',
+            incarnation='i',
+            port=7,
+            members=known,
+            now=clock.EPOCH,
         )
         one.roster(roster)
         made.append((one, known))
@@ -391,6 +397,22 @@
     assert not one.leader_silent(last + SECOND)
 
 
+def test_a_newcomer_that_hears_no_leader_takes_none_to_be_left() -> None:
+    """All may have ended at once; nobody would wait for the lapse."""
+    one, two, _ = gateways()
+    early = clock.EPOCH + peers.NEWCOMER_SILENCE - SECOND / 1000
+    late = clock.EPOCH + peers.NEWCOMER_SILENCE
+    assert one.newcomer(early)
+    assert not one.leader_silent(early)
+    assert not one.newcomer(late)
+    assert one.leader_silent(late)
+    two.token = 7
+    data = two.datagram(early)
+    assert data is not None
+    one.heard(data, '10.0.0.1', early)
+    assert not one.leader_silent(late)
+
+
 def test_a_leader_tells_often_that_it_leads() -> None:
     """Three datagrams fit into the silence after which it is gone."""
     one, _, _ = gateways()
--- /dev/null
+++ b/tests/unit/test_rank_client.py
@@ -0,0 +1,155 @@
+"""Which way a leader calls its ranks, and whose counts it reads."""
+
+import asyncio
+import datetime
+
+from aspenfold._internal.expertmaps import ranks
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import rank_client
+from aspenfold._internal.gateway import sampling
+from aspenfold._internal.kernel import clock as clock_module
+
+AGENT = 7321
+ENGINE = 8080
+
+ORDER = ranks.Order(
+    rank=0,
+    op=ranks.Op.RELEASE,
+    epoch=1,
+    token=1,
+    version=0,
+    step=3,
+    new_map=(),
+)
+
+
+class FakeClock:
+    """A clock that a test sets."""
+
+    def __init__(self) -> None:
+        self.time = clock_module.EPOCH
+
+    def now(self) -> datetime.datetime:
+        """Return the time."""
+        return self.time
+
+
+class FakeEngine:
+    """Answers at the ports that are up, and notes who was called."""
+
+    def __init__(self, *up: int) -> None:
+        self.up = set(up)
+        self.called: list[int] = []
+
+    async def _call(self, port: int) -> None:
+        self.called.append(port)
+        if port not in self.up:
+            raise ports.EngineSilent('nobody there')
+
+    async def counts(self, host: str, port: int) -> ranks.Counts:
+        """Return a rank's counts."""
+        await self._call(port)
+        return ranks.Counts(epoch=1, counts=(1, 2))
+
+    async def report(self, host: str, port: int) -> ranks.Report:
+        """Be silent."""
+        raise ports.EngineSilent('no report')
+
+    async def held(self, host: str, port: int) -> ranks.RankMap:
+        """Return no experts."""
+        await self._call(port)
+        return ranks.RankMap(version=0, experts=())
+
+    async def order(
+        self, host: str, port: int, order: ranks.Order
+    ) -> ranks.Answer:
+        """Take an order."""
+        self.called.append(port)
+        if port not in self.up:
+            return ranks.Answer.NONE
+        return ranks.Answer.ACCEPTED
+
+
+def endpoint(name: str, zone: str = 'z') -> directory.Endpoint:
+    """Return a rank's endpoint."""
+    return directory.Endpoint(
+        listing=directory.Listing(
+            name=name,
+            service='s',
+            host=f'10.0.0.{name}',
+            port=ENGINE,
+            zone=zone,
+            capacity=4,
+            draining=False,
+        )
+    )
+
+
+def client(
+    engine: FakeEngine, agent_port: int = AGENT
+) -> tuple[rank_client.RankClient, FakeClock]:
+    """Return a client and its clock."""
+    clock = FakeClock()
+    made = rank_client.RankClient(
+        engine=engine, clock=clock, agent_port=agent_port
+    )
+    return made, clock
+
+
+def test_the_agent_is_called_where_there_is_one() -> None:
+    """And the engine itself where the settings know of no agents."""
+    engine = FakeEngine(AGENT, ENGINE)
+    found, _ = client(engine)
+    assert asyncio.run(found.counts(endpoint('1'))) is not None
+    assert engine.called == [AGENT]
+    found, _ = client(engine, agent_port=0)
+    assert asyncio.run(found.counts(endpoint('1'))) is not None
+    assert engine.called == [AGENT, ENGINE]
+
+
+def test_a_lost_agent_is_passed_over_for_a_while() -> None:
+    """The engine answers instead, at once."""
+    engine = FakeEngine(ENGINE)
+    found, clock = client(engine)
+    for _ in range(2):
+        assert asyncio.run(found.counts(endpoint('1'))) is not None
+    assert engine.called == [AGENT, ENGINE, ENGINE]
+    clock.time += rank_client.AGENT_PAUSE
+    engine.up.add(AGENT)
+    assert asyncio.run(found.counts(endpoint('1'))) is not None
+    assert engine.called[3:] == [AGENT]
+
+
+def test_counts_that_would_cost_are_not_read_for_nothing() -> None:
+    """Neither when the agent fails nor while it is passed over."""
+    engine = FakeEngine(ENGINE)
+    found, _ = client(engine)
+    for _ in range(2):
+        assert asyncio.run(found.counts(endpoint('1'), free=True)) is None
+    assert engine.called == [AGENT]
+
+
+def test_an_order_goes_to_the_engine_itself_and_once() -> None:
+    """A frozen agent must not keep a held group waiting."""
+    engine = FakeEngine(AGENT)
+    found, _ = client(engine)
+    answer = asyncio.run(found.order(endpoint('1'), ORDER))
+    assert answer is ranks.Answer.NONE
+    assert engine.called == [ENGINE]
+    assert asyncio.run(found.counts(endpoint('1'))) is not None
+    assert engine.called == [ENGINE, AGENT]
+
+
+def test_ranks_of_the_own_zone_are_read_and_few_where_it_costs() -> None:
+    """The same ones each turn, since counts add up from the last."""
+    zones = {0: 'a', 1: 'b', 2: 'a', 3: 'b'}
+    group = {n: endpoint(str(n), zone) for n, zone in zones.items()}
+
+    def chosen(zone: str, free: bool, turn: int) -> list[int]:
+        return sampling.chosen(group, zone=zone, free=free, turn=turn)
+
+    assert chosen('b', True, 0) == chosen('b', True, 1) == [1, 3]
+    assert chosen('c', True, 0) == [0, 1, 2, 3]
+    paid = [chosen('b', False, turn) for turn in range(4)]
+    assert paid == [[0], [1], [0], [1]]
