Take the ranks' agents back: what they gained, power cuts cost

Tried: an agent beside each engine, through which counts cost nothing. Cause of the loss: hosts of ranks that run a program of ours lose power with all others, and the group with them, 2.1 s more without it; frozen, one holds the group. Ruled out: orders through agents (a held group stood for 4 s). Worth another look where ranks' hosts are ours anyway.

--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -17,8 +17,7 @@
 from aspenfold._internal.gateway import outage as outage_module
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import plan as plan_module
-from aspenfold._internal.gateway import rank_client
-from aspenfold._internal.gateway import sampling
+from aspenfold._internal.gateway import ports
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.models import fleet
 from aspenfold._internal.observability import events
@@ -40,17 +39,14 @@
 """A whole plan is made this often also where none seems to pay: the best
 that can be reached may have changed."""
 
-FREE_INTERVAL = datetime.timedelta(milliseconds=300)
-"""Pace of reading the counts that agents give: a round of 24 takes the
-leader some 20 ms of its processor."""
+SAMPLED_RANKS = 2
+"""Ranks whose counts are read; requests are dealt at random, so these
+stand for all."""
 
 PACE_INTERVAL = datetime.timedelta(seconds=2)
 """How often all ranks are asked how fast they are: a rank that turns
 slow holds back all, and each asking costs a probe a rank."""
 
-FREE_PACE_INTERVAL = datetime.timedelta(milliseconds=500)
-"""The same through agents, where asking costs next to nothing."""
-
 SLOW_PACE = 1.2
 """A rank is told as slow from here; less is within a report's noise."""
 
@@ -86,8 +82,7 @@
         shape: plan_module.GroupShape,
         token: int,
         members: directory.Directory,
-        ranks_client: rank_client.RankClient,
-        zone: str,
+        engine: ports.Engine,
         clock: clock_module.Clock,
         peers: peers_module.Peers,
         outage: outage_module.Outage,
@@ -98,8 +93,7 @@
         self._shape = shape
         self._first_token = token * TOKENS_A_TERM
         self._members = members
-        self._ranks = ranks_client
-        self._zone = zone
+        self._engine = engine
         self._clock = clock
         self._peers = peers
         self._switch: switch_module.Switch | None = None
@@ -109,9 +103,7 @@
         self._demand = demand_module.Demand(
             sets=shape.sets, experts=shape.experts
         )
-        self._turns = 0
-        # Whether agents gave counts the last time.
-        self._free = False
+        self._sample_turn = 0
         self._paces: dict[int, float] = {}
         self._paced_at: datetime.datetime | None = None
         self._sampled_at: datetime.datetime | None = None
@@ -157,7 +149,7 @@
         """Learn which endpoint is which rank of a group that is open."""
         members = list(self._members.of_service(self._service))
         reports = await asyncio.gather(
-            *(self._ranks.report(endpoint) for endpoint in members)
+            *(report_of(self._engine, endpoint) for endpoint in members)
         )
         found: dict[int, directory.Endpoint] = {}
         epochs: set[int] = set()
@@ -225,7 +217,7 @@
         if version == 0:
             return initial_map(len(found), self._shape)
         held = await asyncio.gather(
-            *(self._ranks.held(found[rank]) for rank in sorted(found))
+            *(self._held_of(found[rank]) for rank in sorted(found))
         )
         by_rank: list[ranks.SetMap] = []
         for rank_map in held:
@@ -237,6 +229,15 @@
             for s in range(self._shape.sets)
         )
 
+    async def _held_of(
+        self, endpoint: directory.Endpoint
+    ) -> ranks.RankMap | None:
+        listing = endpoint.listing
+        try:
+            return await self._engine.held(listing.host, listing.port)
+        except ports.EngineSilent:
+            return None
+
     # -- leading ---------------------------------------------------------
 
     async def _turn(self, switch: switch_module.Switch) -> None:
@@ -267,15 +268,11 @@
         """Sample demand, and begin a round where a new map pays."""
         last = self._sampled_at
         wait = HURRIED_INTERVAL if self._hurried else SAMPLE_INTERVAL
-        if self._free:
-            wait = FREE_INTERVAL
         if last is not None and now - last < wait:
             return
         self._sampled_at = now
-        self._turns += 1
-        self._free = await self._sample(free=True)
-        if not self._free:
-            await self._sample(free=False)
+        self._sample_turn = (self._sample_turn + 1) % SAMPLED_RANKS
+        await self._sample(sorted(self._endpoints)[self._sample_turn])
         if not switch.ready or self.ending:
             return
         if switch.version == switch.token and self._next_map:
@@ -293,8 +290,7 @@
     def _asks(self, now: datetime.datetime) -> list[switch_module.Action]:
         """Ask the rank that may be held, and at times all for their pace."""
         last = self._paced_at
-        wait = FREE_PACE_INTERVAL if self._free else PACE_INTERVAL
-        if last is not None and now - last < wait:
+        if last is not None and now - last < PACE_INTERVAL:
             return [switch_module.Ask(rank=switch_module.HOLDER)]
         self._paced_at = now
         return [switch_module.Ask(rank=rank) for rank in self._endpoints]
@@ -313,27 +309,13 @@
                 events.Event.RANKS_SLOW, group=self._group, paces=paces
             )
 
-    async def _sample(self, *, free: bool) -> bool:
-        """Read counts; ``free``: only those that cost nothing.
-
-        Return whether any were read.
-        """
-        chosen = sampling.chosen(
-            self._endpoints, zone=self._zone, free=free, turn=self._turns
-        )
-        read = await asyncio.gather(
-            *(
-                self._ranks.counts(self._endpoints[rank], free=free)
-                for rank in chosen
-            )
-        )
-        for rank, counts in zip(chosen, read, strict=True):
-            if counts is None:
-                continue
-            self._demand.sample(rank, counts, self._clock.now())
-            # Requests are answered between the samples.
-            await asyncio.sleep(0)
-        return any(counts is not None for counts in read)
+    async def _sample(self, rank: int) -> None:
+        listing = self._endpoints[rank].listing
+        try:
+            counts = await self._engine.counts(listing.host, listing.port)
+        except ports.EngineSilent:
+            return
+        self._demand.sample(rank, counts, self._clock.now())
 
     async def _plan(self) -> ranks.Map | None:
         """Return a map that pays for its change, None if there is none."""
@@ -427,16 +409,20 @@
     async def _act(
         self, switch: switch_module.Switch, action: switch_module.Action
     ) -> None:
-        endpoint = self._endpoints[action.rank]
+        listing = self._endpoints[action.rank].listing
         before = switch.state
         if isinstance(action, switch_module.Ask):
-            report = await self._ranks.report(endpoint)
+            report = await report_of(
+                self._engine, self._endpoints[action.rank]
+            )
             if report is None or self._switch is not switch:
                 return
             self._paces[report.rank] = report.pace
             more = switch.reported(report, self._clock.now())
         else:
-            answer = await self._ranks.order(endpoint, action)
+            answer = await self._engine.order(
+                listing.host, listing.port, action
+            )
             if self._switch is not switch:
                 return
             if answer is not ranks.Answer.ACCEPTED:
@@ -460,6 +446,17 @@
         self._perform(switch, more)
 
 
+async def report_of(
+    engine: ports.Engine, endpoint: directory.Endpoint
+) -> ranks.Report | None:
+    """Return the report of an endpoint's engine, None if it is silent."""
+    listing = endpoint.listing
+    try:
+        return await engine.report(listing.host, listing.port)
+    except ports.EngineSilent:
+        return None
+
+
 def initial_map(size: int, shape: plan_module.GroupShape) -> ranks.Map:
     """Return map 0, which assigns experts to ranks in turn."""
     one = tuple(
--- a/src/aspenfold/_internal/gateway/ports.py
+++ b/src/aspenfold/_internal/gateway/ports.py
@@ -107,18 +107,6 @@
         """Give a rank an order."""
 
 
-class Forwarder(typing.Protocol):
-    """Questions to an engine as they stand, for the agent beside it."""
-
-    async def forward(
-        self, host: str, port: int, target: bytes
-    ) -> tuple[int, bytes]:
-        """Return an answer's status and body.
-
-        Raises :class:`EngineSilent`.
-        """
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Platform:
     """The platform as the gateway sees it."""
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -56,8 +56,6 @@
     GROUP_STANDS = 609
     GROUP_RUNS = 610
     GROUP_AWAITED = 611
-    AGENT_LOST = 612
-    ENGINE_SILENT = 613
     LOG_LOST = 700
     LOG_BACK = 701
     HOST_LIST_LOST = 702
@@ -104,8 +102,6 @@
     Event.GROUP_STANDS: 'a group of ranks began to refuse requests',
     Event.GROUP_RUNS: 'a group of ranks takes requests again',
     Event.GROUP_AWAITED: 'a request waits for a group that stands',
-    Event.AGENT_LOST: "a rank's agent is passed over for a while",
-    Event.ENGINE_SILENT: 'an engine did not answer its agent',
     Event.LOG_LOST: 'the log service does not answer',
     Event.LOG_BACK: 'the log service answers again',
     Event.HOST_LIST_LOST: 'the host list does not answer',
--- a/src/aspenfold/platform/engine.py
+++ b/src/aspenfold/platform/engine.py
@@ -19,14 +19,6 @@
 MIN_PACE = 0.1
 """A faster rank than this is taken to report nonsense."""
 
-REPORT = b'/api/report'
-COUNTS = b'/api/picked'
-HELD = b'/api/picked?lists=1'
-ORDER = b'/api/order'
-
-QUESTIONS = frozenset({REPORT, COUNTS, HELD})
-"""What leaders ask of an engine; an agent passes on nothing else."""
-
 OP_NAMES = {
     ranks.Op.PREPARE: 'prepare',
     ranks.Op.ARM: 'arm',
@@ -100,7 +92,7 @@
 
     async def report(self, host: str, port: int) -> ranks.Report:
         """Return a rank's report, or raise ``ports.EngineSilent``."""
-        body = await self._get(host, port, REPORT)
+        body = await self._get(host, port, b'/api/report')
         try:
             found = _Report.model_validate_json(body)
         except pydantic.ValidationError as exc:
@@ -126,7 +118,7 @@
 
     async def counts(self, host: str, port: int) -> ranks.Counts:
         """Return how often the rank's requests chose each expert."""
-        body = await self._get(host, port, COUNTS)
+        body = await self._get(host, port, b'/api/picked')
         try:
             found = _Counts.model_validate_json(body)
         except pydantic.ValidationError as exc:
@@ -135,7 +127,7 @@
 
     async def held(self, host: str, port: int) -> ranks.RankMap:
         """Return the experts that the rank uses."""
-        body = await self._get(host, port, HELD)
+        body = await self._get(host, port, b'/api/picked?lists=1')
         try:
             found = _Lists.model_validate_json(body).map
         except pydantic.ValidationError as exc:
@@ -165,33 +157,26 @@
         # doubled answer to an earlier call must not pass for this one's.
         self._drop(host, port)
         try:
-            status, _ = await self._call(host, port, b'POST', ORDER, body)
+            status, _ = await self._call(
+                host, port, b'POST', b'/api/order', body
+            )
         except ports.EngineSilent:
             return ranks.Answer.NONE
         return ANSWERS.get(status, ranks.Answer.REFUSED)
 
     async def _get(self, host: str, port: int, path: bytes) -> bytes:
-        status, body = await self.forward(host, port, path)
+        status, body = await self._call(host, port, b'GET', path, b'')
         if status != 200:
             raise ports.EngineSilent(f'answered {status}')
         return body
 
-    async def forward(
-        self, host: str, port: int, target: bytes
-    ) -> tuple[int, bytes]:
-        """Ask as it stands; return the answer's status and body.
-
-        Raises ``ports.EngineSilent``.
-        """
-        return await self._call(host, port, b'GET', target, b'')
-
     async def _call(
-        self, host: str, port: int, method: bytes, target: bytes, body: bytes
+        self, host: str, port: int, method: bytes, path: bytes, body: bytes
     ) -> tuple[int, bytes]:
         self.calls += 1
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                return await self._exchange(host, port, method, target, body)
+                return await self._exchange(host, port, method, path, body)
         except TimeoutError:
             raise ports.EngineSilent('no answer in time') from None
         except (
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -172,8 +172,7 @@
             module = getattr(node, 'module', None) or ''
             if module.startswith('aspenfold.platform'):
                 found.add(path.relative_to(SOURCES).as_posix())
-    allowed = {'cli/gateway.py', 'cli/plan.py', 'cli/rank_agent.py'}
-    assert found == allowed
+    assert found == {'cli/gateway.py', 'cli/plan.py'}
 
 
 def test_wire_names_stand_in_the_platform_folder_only() -> None:
