--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -7,7 +7,7 @@
 from aspenfold._internal.gateway import dialect as dialect_module
 from aspenfold._internal.gateway import directory as directory_module
 from aspenfold._internal.gateway import forwarding
-from aspenfold._internal.gateway import outage as outage_module
+from aspenfold._internal.gateway import outages
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.gateway import table as table_module
@@ -50,7 +50,7 @@
         self.draining = False
         self.refusing = False
         self._budgets: dict[str, shared.SharedBudget] = {}
-        self.outages: dict[str, outage_module.Outage] = {}
+        self.outages = outages.Outages(clock=clock)
         self._plain_routing = self._routing(PLAIN_ROUTING)
         self._group_routing = self._routing(GROUP_ROUTING)
 
@@ -108,65 +108,9 @@
             return False
         now = self.clock.now()
         found = self.directory.routable(service, now)
-        since = self.outage(service).ended_since(now)
+        since = self.outages.of(service).ended_since(now)
         return admission.refuses(route, left, found, since)
 
-    def outage(self, service: str) -> outage_module.Outage:
-        """Return what is known of the service's group standing still."""
-        known = self.outages.get(service)
-        if known is None:
-            known = outage_module.Outage()
-            self.outages[service] = known
-        return known
-
-    def group_refused(self, service: str) -> None:
-        """The service's group stands: a request was refused."""
-        if self.outage(service).refused(self.clock.now()):
-            events.emit(events.Event.GROUP_STANDS, service=service)
-
-    def group_runs(self, service: str) -> None:
-        """The service's group took a request."""
-        known = self.outages.get(service)
-        if known is None or known.began_at is None:
-            return
-        now = self.clock.now()
-        lasted = now - known.began_at
-        known.runs(now)
-        self._log_running(service, lasted, '')
-
-    def group_told(
-        self, service: str, age: datetime.timedelta, peer: str
-    ) -> None:
-        """A peer says that the service's group ran ``age`` ago."""
-        known = self.outages.get(service)
-        if known is None or known.began_at is None:
-            return
-        now = self.clock.now()
-        lasted = now - known.began_at
-        if known.told(age, now):
-            self._log_running(service, lasted, peer)
-
-    def recovered(
-        self, now: datetime.datetime
-    ) -> dict[str, datetime.timedelta]:
-        """Return how long ago groups were seen to run again, if lately."""
-        found = {}
-        for service, known in self.outages.items():
-            age = known.ended_lately(now)
-            if age is not None:
-                found[service] = age
-        return found
-
-    def _log_running(
-        self, service: str, lasted: datetime.timedelta, peer: str
-    ) -> None:
-        events.emit(
-            events.Event.GROUP_RUNS,
-            service=service,
-            stood_ms=lasted // datetime.timedelta(milliseconds=1),
-            told_by=peer,
-        )
-
     def choose(
         self, service: str, avoid: set[str]
     ) -> directory_module.Endpoint | None:
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -149,7 +149,7 @@
         Return whether it runs now.
         """
         call, now = self._call, self._core.clock.now()
-        known = self._core.outage(call.service)
+        known = self._core.outages.of(call.service)
         wait = known.wait_of(
             history.route, age=call.age, left=call.left, now=now
         )
@@ -162,7 +162,9 @@
             expected_ms=known.remaining(now) // MILLISECOND,
             left_ms=call.left_ms,
         )
-        return await known.wait(wait)
+        opened = await known.wait(wait)
+        self._core.metrics.count('group_waits', 'opened' if opened else 'vain')
+        return opened
 
     # -- the end ---------------------------------------------------------
 
--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -1,4 +1,4 @@
-"""Leads the expert-parallel groups: watches demand, changes maps.
+"""Leads an expert-parallel group: watches demand, changes maps.
 
 One gateway at a time does this, under a lease in the store.  Its orders
 are safe without the lease, see :mod:`aspenfold._internal.expertmaps.\
@@ -8,18 +8,15 @@
 import asyncio
 import datetime
 
-from aspenfold._internal.expertmaps import demand as demand_module
-from aspenfold._internal.expertmaps import descent
-from aspenfold._internal.expertmaps import planner
 from aspenfold._internal.expertmaps import ranks
 from aspenfold._internal.expertmaps import switch as switch_module
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import map_planner
 from aspenfold._internal.gateway import outage as outage_module
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.kernel import clock as clock_module
-from aspenfold._internal.models import fleet
 from aspenfold._internal.observability import events
 
 TICK_S = 0.05
@@ -31,14 +28,6 @@
 HURRIED_INTERVAL = datetime.timedelta(milliseconds=250)
 """Their pace while the newest counts hint that demand has shifted."""
 
-HURRY_GAIN = 0.2
-"""Skew over the best that is known to be reached, from which on counts
-are read faster; about half of what a change of map must promise."""
-
-PLAN_INTERVAL = datetime.timedelta(seconds=3)
-"""A whole plan is made this often also where none seems to pay: the best
-that can be reached may have changed."""
-
 SAMPLED_RANKS = 2
 """Ranks whose counts are read; requests are dealt at random, so these
 stand for all."""
@@ -60,13 +49,6 @@
 OPENED_INTERVAL = datetime.timedelta(milliseconds=100)
 """The same when it was just seen to run: reports are 200 ms behind."""
 
-MIN_SKEW_GAIN = 0.45
-"""A new map must promise to lower the mean skew of the sets by this;
-less is within what a second's counts are off."""
-
-PRICE = fleet.MapPrice(skew=1.0, moved_weights=5.0, skew_bound=1.1)
-"""What planning weighs: see MIN_GAIN of the planner."""
-
 TOKENS_A_TERM = 1_000_000
 """Rounds that one term may take; tokens of the next are all higher."""
 
@@ -100,23 +82,23 @@
         self._endpoints: dict[int, directory.Endpoint] = {}
         self._map: ranks.Map = ()
         self._next_map: ranks.Map = ()
-        self._demand = demand_module.Demand(
-            sets=shape.sets, experts=shape.experts
+        self._planner = map_planner.MapPlanner(
+            service=service, shape=shape, clock=clock
         )
         self._sample_turn = 0
         self._paces: dict[int, float] = {}
         self._paced_at: datetime.datetime | None = None
         self._sampled_at: datetime.datetime | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        # The skew that the last whole plan came to.
-        self._reached: float | None = None
-        self._planned_at: datetime.datetime | None = None
-        self._hurried = False
         self.ending = False
         self._stopped = False
         self.fenced = False
         self.changes = 0
-        self.skew = 0.0
+
+    @property
+    def skew(self) -> float:
+        """The mean skew of the sets as last estimated, 0 before that."""
+        return self._planner.skew
 
     @property
     def holds(self) -> bool:
@@ -215,7 +197,7 @@
     ) -> ranks.Map | None:
         """Return the map in use, None if it cannot be read whole."""
         if version == 0:
-            return initial_map(len(found), self._shape)
+            return map_planner.initial_map(len(found), self._shape)
         held = await asyncio.gather(
             *(self._held_of(found[rank]) for rank in sorted(found))
         )
@@ -267,7 +249,7 @@
     ) -> None:
         """Sample demand, and begin a round where a new map pays."""
         last = self._sampled_at
-        wait = HURRIED_INTERVAL if self._hurried else SAMPLE_INTERVAL
+        wait = HURRIED_INTERVAL if self._planner.hurried else SAMPLE_INTERVAL
         if last is not None and now - last < wait:
             return
         self._sampled_at = now
@@ -280,7 +262,7 @@
         self._next_map = ()
         self._perform(switch, self._asks(now))
         self._tell_paces()
-        new_map = await self._plan()
+        new_map = await self._planner.plan(self._map, self._pace_list())
         if new_map is None or not switch.ready or self.ending:
             return
         self._next_map = new_map
@@ -295,6 +277,9 @@
         self._paced_at = now
         return [switch_module.Ask(rank=rank) for rank in self._endpoints]
 
+    def _pace_list(self) -> list[float]:
+        return [self._paces.get(rank, 1.0) for rank in sorted(self._endpoints)]
+
     def _tell_paces(self) -> None:
         """Let all gateways send less to ranks that are slow."""
         paces = {
@@ -315,82 +300,7 @@
             counts = await self._engine.counts(listing.host, listing.port)
         except ports.EngineSilent:
             return
-        self._demand.sample(rank, counts, self._clock.now())
-
-    async def _plan(self) -> ranks.Map | None:
-        """Return a map that pays for its change, None if there is none."""
-        loads = self._demand.loads()
-        if loads is None:
-            return None
-        shape = planner.Shape(
-            ranks=len(self._endpoints),
-            experts=self._shape.experts,
-            slots_per_rank=self._shape.slots_per_rank,
-            spare=self._shape.spare,
-        )
-        paces = [self._paces.get(r, 1.0) for r in sorted(self._endpoints)]
-        now_skew = await self._skew(shape, loads, paces)
-        self.skew = now_skew
-        if not self._worth_planning(now_skew):
-            return None
-        after = 0.0
-        moved = 0
-        sets: list[ranks.SetMap] = []
-        for load, current in zip(loads, self._map, strict=True):
-            old = [list(experts) for experts in current]
-            new = old
-            skew = 0.0
-            for draft in descent.steps(shape, load, old, PRICE, paces):
-                new = draft.placement
-                skew = draft.skew()
-                # Requests are answered between the moves.
-                await asyncio.sleep(0)
-            after += skew / len(loads)
-            moved += planner.moved(old, new)
-            sets.append(tuple(tuple(experts) for experts in new))
-        self._reached = after
-        self._planned_at = self._clock.now()
-        if now_skew - after < MIN_SKEW_GAIN:
-            return None
-        events.emit(
-            events.Event.MAP_PLANNED,
-            service=self._service,
-            skew_before=round(now_skew, 3),
-            skew_after=round(after, 3),
-            moved=moved,
-        )
-        return tuple(sets)
-
-    async def _skew(
-        self,
-        shape: planner.Shape,
-        loads: list[list[float]],
-        paces: list[float],
-    ) -> float:
-        """Return the mean skew of the sets under the map in use."""
-        total = 0.0
-        for load, current in zip(loads, self._map, strict=True):
-            draft = descent.Draft(
-                shape=shape,
-                placement=[list(experts) for experts in current],
-                load=load,
-                paces=paces,
-            )
-            total += draft.skew()
-            await asyncio.sleep(0)
-        return total / len(loads)
-
-    def _worth_planning(self, skew: float) -> bool:
-        """Return whether a whole plan may pay; set the pace of counts.
-
-        A whole plan takes a leader's processor for 0.2 s with 72 ranks.
-        """
-        if self._reached is None or self._planned_at is None:
-            return True
-        gain = skew - self._reached
-        self._hurried = gain >= HURRY_GAIN
-        due = self._clock.now() - self._planned_at >= PLAN_INTERVAL
-        return due or gain >= MIN_SKEW_GAIN
+        self._planner.sample(rank, counts)
 
     # -- carrying out ----------------------------------------------------
 
@@ -455,11 +365,3 @@
         return await engine.report(listing.host, listing.port)
     except ports.EngineSilent:
         return None
-
-
-def initial_map(size: int, shape: plan_module.GroupShape) -> ranks.Map:
-    """Return map 0, which assigns experts to ranks in turn."""
-    one = tuple(
-        tuple(range(rank, shape.experts, size)) for rank in range(size)
-    )
-    return (one,) * shape.sets
--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -295,7 +295,7 @@
             engine=self._engine,
             clock=self._core.clock,
             peers=self._peers,
-            outage=self._core.outage(service),
+            outage=self._core.outages.of(service),
         )
         leader.ending = self._ending
         task = asyncio.create_task(leader.run())
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -187,7 +187,7 @@
             self._source.heard(news.host, news.zone, news.reads, now)
             self._feeds.plan.hint(news.plan_offset)
             for service, age in news.recovered.items():
-                self._core.group_told(service, age, news.host)
+                self._core.outages.told(service, age, news.host)
 
         socket = await datagrams.listen(
             self._cfg.address, self._cfg.peer_port, receive
@@ -198,7 +198,7 @@
             self._peers.forget_silent(now)
             self._peers.plan_offset = self._feeds.plan.offset
             self._peers.reads = self._source.reads(now)
-            self._peers.recovered = self._core.recovered(now)
+            self._peers.recovered = self._core.outages.recovered()
             data = self._peers.datagram(now)
             if data is not None:
                 for address in self._peers.addresses:
@@ -258,7 +258,7 @@
 
     def outage(self, service: str) -> outage.Outage:
         """Return what is known of a service's group standing still."""
-        return self._core.outage(service)
+        return self._core.outages.of(service)
 
     @property
     def plan_version(self) -> int:
--- a/src/aspenfold/_internal/processes/gateway_metrics.py
+++ b/src/aspenfold/_internal/processes/gateway_metrics.py
@@ -32,6 +32,7 @@
     gauge('reads_store', lambda: source.reads(core.clock.now()))
     gauge('store_lost', lambda: source.lost)
     gauge('followers', lambda: publisher.followers)
+    gauge('groups_standing', core.outages.standing)
     gauge('leads_groups', lambda: duty.leading)
     gauge('map_changes', lambda: duty.changes)
     gauge('map_skew', lambda: duty.skew)
--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -115,6 +115,7 @@
             'list_age_seconds',
             'reads_store 1.0',
             'store_lost 0.0',
+            'groups_standing 0.0',
             'leads_groups',
             'map_skew',
             'retry_budget_left',
