Look at the retry budget again after a wait for a group

Cause: found by reading. Requests that waited for a group that stood had looked at the budget before; all that woke were sent again, whatever was left. Now each takes its part when it wakes, and is refused if there is none. Test seen to fail without: four waiters, one attempt left, four sends. The step after an attempt has a function of its own.

--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -126,23 +126,31 @@
                 history=history,
                 endpoint=endpoint,
             ).run()
-            budget = self._core.budget(self._call.service)
-            # What no endpoint got yet is not sent *again*.
-            free = history.sent == 0
-            allowed = free or budget.left >= 1
-            step = outcome.after(history, end, budget=allowed)
-            if step is outcome.Step.REFUSE and end is outcome.End.DOWN:
-                sends = history.sent < history.route.max_attempts
-                if sends and allowed and await self._wait_for_group(history):
-                    step = outcome.Step.AGAIN
+            step = await self._next_step(history, end)
             if step is not outcome.Step.AGAIN:
                 self._conclude(step, end, history)
                 return
-            if not free:
-                budget.take()
             self._tried.add(endpoint.name)
             self._log_again(history, endpoint, end)
 
+    async def _next_step(
+        self, history: outcome.History, end: outcome.End
+    ) -> outcome.Step:
+        """Return what follows an attempt; pay for another one."""
+        budget = self._core.budget(self._call.service)
+        # What no endpoint got yet is not sent *again*.
+        free = history.sent == 0
+        allowed = free or budget.left >= 1
+        step = outcome.after(history, end, budget=allowed)
+        if step is outcome.Step.REFUSE and end is outcome.End.DOWN:
+            sends = history.sent < history.route.max_attempts
+            if sends and allowed and await self._wait_for_group(history):
+                step = outcome.Step.AGAIN
+        if step is outcome.Step.AGAIN and not free and not budget.take():
+            # Others took what was left while this one waited.
+            return outcome.Step.REFUSE
+        return step
+
     async def _wait_for_group(self, history: outcome.History) -> bool:
         """Wait for a group that stands, if that gives a chance.
 
--- a/tests/functional/test_gateway_groups.py
+++ b/tests/functional/test_gateway_groups.py
@@ -117,3 +117,35 @@
             assert worker.runs.total() == 0
 
     asyncio.run(run())
+
+
+def test_those_who_waited_keep_to_the_retry_budget() -> None:
+    """All wake at once; the budget is looked at again then."""
+
+    async def run() -> None:
+        route = rigs.route(
+            '/model/', 'streaming', service='model', timeout_ms=8000
+        )
+        async with rigs.running(rigs.plan(routes=[route])) as rig:
+            worker = await rig.add_worker('w-1', workers.group_down, 'model')
+            await rig.ready()
+            waiting = [
+                asyncio.ensure_future(rig.ask('/model/')) for _ in range(4)
+            ]
+            await rigs.until(lambda: len(asked(worker)) == 4)
+            await asyncio.sleep(0.1)
+            assert not any(task.done() for task in waiting)
+            worker.script = workers.stream
+            assert (await rig.ask('/model/')).status == 200
+            answers = [await task for task in waiting]
+            # A new process may send one request again.
+            assert len(asked(worker)) == 4 + 1 + 1
+            statuses = sorted(answer.status for answer in answers)
+            assert statuses == [200, 503, 503, 503]
+
+    asyncio.run(run())
+
+
+def asked(worker: workers.Worker) -> list[str]:
+    """Return callers' requests that came to an endpoint."""
+    return [r.target for r in worker.arrivals if r.target == '/model/']
