Understand datagrams of gateways of other versions

Cause: found by reading. A field more made gateways reject the datagrams of those not yet replaced, and count their work as none. Fields that are missing now stand for nothing told, further ones are passed over. Test seen to fail without.

--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -198,7 +198,9 @@
     def _parse(self, data: bytes, sender: str) -> News | None:
         try:
             host, incarnation, number, counts, *rest = orjson.loads(data)
-            offset, token, paces, zone, reads, recovered = rest
+            # Later versions may tell more, and earlier ones tell less.
+            offset, token, paces, zone, reads, *more = rest
+            recovered = more[0] if more else {}
             if not self._may_be(str(host), sender):
                 return None
             return News(
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -8,6 +8,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import orjson
 import pytest
 
 from aspenfold._internal.expertmaps import demand
@@ -355,6 +356,22 @@
     assert here.elsewhere == 0
 
 
+def test_peers_of_other_versions_are_understood() -> None:
+    """While gateways are replaced one by one, some tell less or more."""
+    one, two, known = gateways()
+    here = known.get('w')
+    assert here is not None
+    fields = ['g-1', 'i', 1, {'w': 2}, 5, 0, {}, 'z', False]
+    for number, more in enumerate([[], [{'s': 40}], [{'s': 40}, 'new']], 1):
+        fields[2] = number
+        data = orjson.dumps([*fields, *more])
+        news = two.heard(data, '10.0.0.0', clock.EPOCH)
+        assert news is not None
+        assert here.elsewhere == 2
+        assert len(news.recovered) == (1 if more else 0)
+    assert one.rejected == two.rejected == 0
+
+
 def test_a_slow_rank_is_told_to_all_gateways() -> None:
     """It counts as fuller, until the leader says that it is not slow."""
     one, two, known = gateways()
