Tell of a group that is left held; one copy of a constant

Found by reading the change: the wait of a leader that ends swallowed its time limit without a line, and a millisecond stood in five places.

--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -13,6 +13,7 @@
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import refusal
 from aspenfold._internal.gateway import table as table_module
+from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import http1_server
 from aspenfold._internal.observability import events
 
@@ -20,8 +21,6 @@
 """Stands for the wait of callers that do not tell theirs, or nonsense;
 the route's timeout is shorter."""
 
-MILLISECOND = datetime.timedelta(milliseconds=1)
-
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run."""
 
@@ -166,8 +165,8 @@
         events.emit(
             events.Event.GROUP_AWAITED,
             call=call.id,
-            wait_ms=wait // MILLISECOND,
-            expected_ms=known.remaining(now) // MILLISECOND,
+            wait_ms=wait // clock_module.MILLISECOND,
+            expected_ms=known.remaining(now) // clock_module.MILLISECOND,
             left_ms=call.left_ms,
         )
         opened = await known.wait(wait)
@@ -315,6 +314,6 @@
         left = float(text)
     except ValueError:
         return UNTOLD_LEFT
-    if not 0 <= left <= UNTOLD_LEFT / MILLISECOND:
+    if not 0 <= left <= UNTOLD_LEFT / clock_module.MILLISECOND:
         return UNTOLD_LEFT
     return datetime.timedelta(milliseconds=left)
--- a/src/aspenfold/_internal/gateway/maps_duty.py
+++ b/src/aspenfold/_internal/gateway/maps_duty.py
@@ -124,6 +124,11 @@
             async with asyncio.timeout(limit):
                 while any(ld.holds for ld, _ in self._leaders.values()):
                     await asyncio.sleep(FINISH_TICK.total_seconds())
+        held = [n for n, (ld, _) in self._leaders.items() if ld.holds]
+        for service, group in held:
+            events.emit(
+                events.Event.GROUP_LEFT_HELD, service=service, group=group
+            )
         # In the same turn of the loop, so that no hold comes after.
         for leader, _ in self._leaders.values():
             leader.stop()
--- a/src/aspenfold/_internal/gateway/outages.py
+++ b/src/aspenfold/_internal/gateway/outages.py
@@ -6,8 +6,6 @@
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
 
-MILLISECOND = datetime.timedelta(milliseconds=1)
-
 
 class Outages:
     """Finds a service's outage, and tells when one begins and ends."""
@@ -64,6 +62,6 @@
     events.emit(
         events.Event.GROUP_RUNS,
         service=service,
-        stood_ms=lasted // MILLISECOND,
+        stood_ms=lasted // clock_module.MILLISECOND,
         told_by=peer,
     )
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -20,6 +20,7 @@
 
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import settings
+from aspenfold._internal.kernel import clock as clock_module
 
 SILENCE_LIMIT = datetime.timedelta(seconds=2)
 """A peer that was not heard for so long has nothing in flight, as far as
@@ -49,8 +50,6 @@
 """Added for each peer, which bounds the datagrams that one gateway
 sends to 250 a second however many others there are."""
 
-MILLISECOND = datetime.timedelta(milliseconds=1)
-
 MAX_BYTES = 1400
 """Largest datagram, under the packet size of common networks."""
 
@@ -214,7 +213,7 @@
                 zone=str(zone),
                 reads=bool(reads),
                 recovered={
-                    str(k): max(0, int(v)) * MILLISECOND
+                    str(k): max(0, int(v)) * clock_module.MILLISECOND
                     for k, v in recovered.items()
                 },
             )
@@ -277,7 +276,9 @@
         self._sent_at = now
         self._sent = state
         self._number += 1
-        ages = {k: v // MILLISECOND for k, v in self.recovered.items()}
+        ages = {
+            k: v // clock_module.MILLISECOND for k, v in self.recovered.items()
+        }
         data = orjson.dumps(
             [self._host, self._incarnation, self._number, *state[:-1], ages]
         )
--- a/src/aspenfold/_internal/gateway/relay.py
+++ b/src/aspenfold/_internal/gateway/relay.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections import abc
 import dataclasses
-import datetime
 
 import orjson
 
@@ -26,8 +25,6 @@
 CONNECT_TIMEOUT_S = 0.3
 """As for endpoints: the longest round trip between zones is 3 ms."""
 
-MILLISECOND = datetime.timedelta(milliseconds=1)
-
 POLL_S = 0.1
 """How often a follower looks whether it should follow, or another."""
 
@@ -248,7 +245,7 @@
             events.Event.NEWS_LOST,
             peer=host,
             reason=reason[:200],
-            age_ms=age and age // MILLISECOND,
+            age_ms=age and age // clock_module.MILLISECOND,
         )
 
     def _take_lines(self, host: str, data: bytes) -> bytes:
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -56,6 +56,7 @@
     GROUP_STANDS = 609
     GROUP_RUNS = 610
     GROUP_AWAITED = 611
+    GROUP_LEFT_HELD = 612
     LOG_LOST = 700
     LOG_BACK = 701
     HOST_LIST_LOST = 702
@@ -102,6 +103,7 @@
     Event.GROUP_STANDS: 'a group of ranks began to refuse requests',
     Event.GROUP_RUNS: 'a group of ranks takes requests again',
     Event.GROUP_AWAITED: 'a request waits for a group that stands',
+    Event.GROUP_LEFT_HELD: 'a leader ends though its group may be held',
     Event.LOG_LOST: 'the log service does not answer',
     Event.LOG_BACK: 'the log service answers again',
     Event.HOST_LIST_LOST: 'the host list does not answer',
