Derive a silent leader from two facts; one way to end an outage

Found by reading the change again; no behaviour changes. - leader_silent spelt out again what newcomer and leader_heard say. - Outages noted an outage's begin before asking it to end, twice; ending one now returns how long it stood. - A test wrote anew what another has for counting callers' requests; it stands with the rig now. Two tests shared their first lines.

--- a/src/aspenfold/_internal/gateway/outage.py
+++ b/src/aspenfold/_internal/gateway/outage.py
@@ -123,19 +123,22 @@
         self._opened.clear()
         return True
 
-    def runs(self, now: datetime.datetime) -> bool:
-        """The group took a request; return whether that is news."""
+    def runs(self, now: datetime.datetime) -> datetime.timedelta | None:
+        """The group took a request; return how long it stood, if it did."""
         if self.began_at is None:
-            return False
+            return None
+        stood = now - self.began_at
         self.began_at = None
         self.ended_at = now
         self._opened.set()
-        return True
+        return stood
 
-    def told(self, age: datetime.timedelta, now: datetime.datetime) -> bool:
-        """A peer says that the group ran ``age`` ago; is that news?"""
+    def told(
+        self, age: datetime.timedelta, now: datetime.datetime
+    ) -> datetime.timedelta | None:
+        """A peer says that the group ran ``age`` ago; as :meth:`runs`."""
         if self.began_at is None or now - age < self.began_at:
-            return False
+            return None
         return self.runs(now)
 
     def ended_lately(
--- a/src/aspenfold/_internal/gateway/outages.py
+++ b/src/aspenfold/_internal/gateway/outages.py
@@ -29,19 +29,13 @@
 
     def runs(self, service: str) -> None:
         """The service's group took a request."""
-        known, now = self.of(service), self._clock.now()
-        began_at = known.began_at
-        if began_at is not None and known.runs(now):
-            _log_end(service, now - began_at, '')
+        _log_end(service, self.of(service).runs(self._clock.now()), '')
 
     def told(self, service: str, age: datetime.timedelta, peer: str) -> None:
         """A peer says that the service's group ran ``age`` ago."""
-        known, now = self._known.get(service), self._clock.now()
-        if known is None or known.began_at is None:
-            return
-        began_at = known.began_at
-        if known.told(age, now):
-            _log_end(service, now - began_at, peer)
+        known = self._known.get(service)
+        if known is not None:
+            _log_end(service, known.told(age, self._clock.now()), peer)
 
     def standing(self) -> int:
         """Return how many groups are known to stand still."""
@@ -58,10 +52,15 @@
         return found
 
 
-def _log_end(service: str, lasted: datetime.timedelta, peer: str) -> None:
+def _log_end(
+    service: str, stood: datetime.timedelta | None, peer: str
+) -> None:
+    """Log the end of an outage; None: there was none."""
+    if stood is None:
+        return
     events.emit(
         events.Event.GROUP_RUNS,
         service=service,
-        stood_ms=lasted // clock_module.MILLISECOND,
+        stood_ms=stood // clock_module.MILLISECOND,
         told_by=peer,
     )
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -178,14 +178,13 @@
         Either one led when it was heard last, a while ago, or none was
         heard since this process started: all may have ended at once.
         """
-        if not any(True for _ in self._leaders_heard()):
-            return now - self._started_at >= NEWCOMER_SILENCE
-        return not self.leader_heard(now)
+        return not self.leader_heard(now) and not self.newcomer(now)
 
     def newcomer(self, now: datetime.datetime) -> bool:
         """Return whether a leader may be there that was not heard yet."""
-        heard = any(True for _ in self._leaders_heard())
-        return not heard and now - self._started_at < NEWCOMER_SILENCE
+        if now - self._started_at >= NEWCOMER_SILENCE:
+            return False
+        return next(self._leaders_heard(), None) is None
 
     def _leaders_heard(self) -> abc.Iterator[datetime.datetime]:
         for peer in self._peers.values():
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -329,14 +329,6 @@
     play(scene)
 
 
-def asked(worker: workers.Worker, path: str) -> int:
-    """Return how many requests of callers came there.
-
-    A leader asks ranks for their reports, too, some time after a start.
-    """
-    return sum(request.target == path for request in worker.arrivals)
-
-
 def test_a_broken_group_is_not_tried_twice() -> None:
     """Its caller is told at once to come back late."""
 
@@ -347,7 +339,7 @@
         answer = await rig.ask('/model/', body='x')
         assert answer.status == 503
         assert float(answer.headers['retry-after']) > 1
-        assert sum(asked(w, '/model/') for w in rig.workers) == 1
+        assert sum(rigs.asked(w, '/model/') for w in rig.workers) == 1
 
     play(scene)
 
@@ -366,7 +358,7 @@
         answer = await rig.ask('/model/')
         assert answer.status == 503
         assert float(answer.headers['retry-after']) > 0
-        assert asked(worker, '/model/') == 1
+        assert rigs.asked(worker, '/model/') == 1
         worker.script = workers.stream
         left = {'X_Aspenfold_Deadline_Remaining_Ms': '3000'}
         assert (await rig.ask('/model/', **left)).status == 200
--- a/tests/functional/test_gateway_groups.py
+++ b/tests/functional/test_gateway_groups.py
@@ -7,6 +7,7 @@
 from aspenfold_standins import platform_worker as workers
 
 from aspenfold._internal.expertmaps import ranks
+from aspenfold._internal.gateway import outage as outage_module
 from tests.lib import gateway_rig as rigs
 from tests.soak import group as group_module
 
@@ -52,6 +53,19 @@
         await rig.store.put(rigs.members.TOPIC, worker.name, entry)
 
 
+async def standing(
+    rig: rigs.Rig,
+) -> tuple[workers.Worker, outage_module.Outage]:
+    """Add a group that has stood for most of the usual time."""
+    worker = await rig.add_worker('w-1', workers.group_down, 'model')
+    await rig.ready()
+    assert (await rig.ask('/model/')).status == 503
+    outage = rig.process.outage('model')
+    assert outage.began_at is not None
+    outage.began_at -= 4 * rigs.SECOND
+    return worker, outage
+
+
 def test_a_leader_that_ends_leaves_no_pass_held() -> None:
     """No other could take over while the store is away."""
 
@@ -79,13 +93,7 @@
 
     async def run() -> None:
         async with rigs.running() as rig:
-            worker = await rig.add_worker('w-1', workers.group_down, 'model')
-            await rig.ready()
-            assert (await rig.ask('/model/')).status == 503
-            outage = rig.process.outage('model')
-            assert outage.lasts
-            # As if it had stood for most of the usual time.
-            outage.began_at -= 4 * rigs.SECOND
+            worker, outage = await standing(rig)
             waiting = asyncio.ensure_future(
                 rig.ask('/model/', **rigs.time_left(3.0))
             )
@@ -106,11 +114,7 @@
 
     async def run() -> None:
         async with rigs.running() as rig:
-            worker = await rig.add_worker('w-1', workers.group_down, 'model')
-            await rig.ready()
-            assert (await rig.ask('/model/')).status == 503
-            outage = rig.process.outage('model')
-            outage.began_at -= 4 * rigs.SECOND
+            worker, _ = await standing(rig)
             answer = await rig.ask('/model/', **rigs.time_left(3.0))
             assert answer.status == 503
             assert 'retry-after' in answer.headers
@@ -132,20 +136,15 @@
             waiting = [
                 asyncio.ensure_future(rig.ask('/model/')) for _ in range(4)
             ]
-            await rigs.until(lambda: len(asked(worker)) == 4)
+            await rigs.until(lambda: rigs.asked(worker, '/model/') == 4)
             await asyncio.sleep(0.1)
             assert not any(task.done() for task in waiting)
             worker.script = workers.stream
             assert (await rig.ask('/model/')).status == 200
             answers = [await task for task in waiting]
             # A new process may send one request again.
-            assert len(asked(worker)) == 4 + 1 + 1
+            assert rigs.asked(worker, '/model/') == 4 + 1 + 1
             statuses = sorted(answer.status for answer in answers)
             assert statuses == [200, 503, 503, 503]
 
     asyncio.run(run())
-
-
-def asked(worker: workers.Worker) -> list[str]:
-    """Return callers' requests that came to an endpoint."""
-    return [r.target for r in worker.arrivals if r.target == '/model/']
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -227,6 +227,14 @@
     return {'X_Aspenfold_Deadline_Remaining_Ms': f'{seconds * 1000:.0f}'}
 
 
+def asked(worker: platform_worker.Worker, path: str) -> int:
+    """Return how many requests of callers came there.
+
+    A leader asks ranks for their reports, too, some time after a start.
+    """
+    return sum(request.target == path for request in worker.arrivals)
+
+
 async def until(condition: abc.Callable[[], object]) -> None:
     """Wait on a condition."""
     async with asyncio.timeout(WAIT_S):
