End programs by one function

The new command line of plans had written anew how the operators' one ends with its command's status; two other programs spelt it out. They call exits.finish.

--- a/src/aspenfold/_internal/commands/exits.py
+++ b/src/aspenfold/_internal/commands/exits.py
@@ -3,6 +3,7 @@
 from collections import abc
 import enum
 import sys
+import typing
 
 from aspenfold._internal import exceptions
 
@@ -29,6 +30,11 @@
 }
 
 
+def finish(work: abc.Callable[[], Exit]) -> typing.NoReturn:
+    """Run a command and end the process with its status."""
+    sys.exit(run(work))
+
+
 def run(work: abc.Callable[[], Exit]) -> Exit:
     """Run a command; errors become a line and an exit status."""
     try:
--- a/src/aspenfold/_internal/commands/serve.py
+++ b/src/aspenfold/_internal/commands/serve.py
@@ -1,7 +1,6 @@
 """Starts a server program from its settings file."""
 
 from collections import abc
-import sys
 import typing
 
 import fire
@@ -23,6 +22,6 @@
             run(settings_module.load(settings, cls))
             return exits.Exit.OK
 
-        sys.exit(exits.run(work))
+        exits.finish(work)
 
     fire.Fire(command, name=program)
--- a/src/aspenfold/cli/gateway.py
+++ b/src/aspenfold/cli/gateway.py
@@ -1,7 +1,6 @@
 """``aspenfold-gateway``: serves callers on a host of the platform."""
 
 import asyncio
-import sys
 
 from aspenfold._internal.commands import exits
 from aspenfold._internal.kernel import clock
@@ -14,7 +13,7 @@
 
 def main() -> None:
     """Serve by the settings file that the environment names."""
-    sys.exit(exits.run(_serve))
+    exits.finish(_serve)
 
 
 def _serve() -> exits.Exit:
--- a/src/aspenfold/cli/operator.py
+++ b/src/aspenfold/cli/operator.py
@@ -1,9 +1,7 @@
 """``aspenfold``: the operators' command line."""
 
-from collections import abc
 import datetime
 import os
-import sys
 import typing
 
 import fire
@@ -44,7 +42,7 @@
             print(f'{fleet_file} is a valid fleet')
             return exits.Exit.OK
 
-        _finish(work)
+        exits.finish(work)
 
     def schema(self) -> None:
         """Print the JSON Schema of the fleet file."""
@@ -52,7 +50,7 @@
 
     def diff(self, fleet_file: str, json: bool = False) -> None:
         """Show what an apply would change."""
-        _finish(
+        exits.finish(
             lambda: apply_module.DiffCommand(platform=self._platform()).run(
                 fleet_file, as_json=json
             )
@@ -70,7 +68,7 @@
 
         Example: aspenfold apply fleet.json --base 41 --reason 'Easter'
         """
-        _finish(
+        exits.finish(
             lambda: apply_module.ApplyCommand(platform=self._platform()).run(
                 fleet_file,
                 base_version=base,
@@ -82,7 +80,7 @@
 
     def show(self) -> None:
         """Print the fleet in force."""
-        _finish(
+        exits.finish(
             lambda: inspect_module.ShowCommand(platform=self._platform()).run()
         )
 
@@ -102,7 +100,7 @@
 
         --kind is one of config, lease, map, membership, snapshot.
         """
-        _finish(
+        exits.finish(
             lambda: audit_module.AuditCommand(platform=self._platform()).run(
                 kind=kind,
                 author=str(author),
@@ -114,7 +112,7 @@
 
     def status(self, json: bool = False) -> None:
         """Show versions, endpoints, leases, maps, and what is stale."""
-        _finish(
+        exits.finish(
             lambda: inspect_module.StatusCommand(
                 platform=self._platform()
             ).run(as_json=json)
@@ -141,7 +139,7 @@
         json: bool = False,
     ) -> None:
         """Show, rule by rule, where such a request would go."""
-        _finish(
+        exits.finish(
             lambda: inspect_module.ExplainCommand(
                 platform=self._platform()
             ).run(
@@ -160,7 +158,7 @@
 
         Example: aspenfold trace 9c41d07be2a35f68 gateway-*.log
         """
-        _finish(
+        exits.finish(
             lambda: trace_module.TraceCommand().run(
                 str(request_id), log_files, as_json=json
             )
@@ -173,7 +171,7 @@
         reason: str,
         json: bool,
     ) -> None:
-        _finish(
+        exits.finish(
             lambda: member_module.MemberCommand(platform=self._platform()).run(
                 endpoint,
                 state,
@@ -189,10 +187,6 @@
         return platform_module.Platform.connect(cfg)
 
 
-def _finish(work: abc.Callable[[], exits.Exit]) -> None:
-    sys.exit(exits.run(work))
-
-
 def main() -> None:
     """Run the command line."""
     fire.Fire(Operator, name='aspenfold')
--- a/src/aspenfold/cli/plan.py
+++ b/src/aspenfold/cli/plan.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import abc
-import sys
 import typing
 
 import fire
@@ -34,7 +33,7 @@
 
     def validate(self, plan_file: str, json: bool = False) -> None:
         """Check a plan file.  Example: aspenfold-plan validate plan.json"""
-        _finish(
+        exits.finish(
             lambda: plans.ValidateCommand().run(
                 plans.load(plan_file, config.decode), as_json=json
             )
@@ -52,11 +51,11 @@
                 plan = self._ask(plans.history)[-1].plan
             return plans.ExplainCommand().run(plan, host, path, as_json=json)
 
-        _finish(work)
+        exits.finish(work)
 
     def status(self, json: bool = False) -> None:
         """Show the newest plan, endpoints, gateways and leases."""
-        _finish(
+        exits.finish(
             lambda: plans.StatusCommand().run(
                 self._ask(plans.status), as_json=json
             )
@@ -64,7 +63,7 @@
 
     def audit(self, json: bool = False) -> None:
         """Show what each plan that the store still has changed."""
-        _finish(
+        exits.finish(
             lambda: plans.AuditCommand().run(
                 self._ask(plans.history), as_json=json
             )
@@ -96,10 +95,6 @@
         return found.store
 
 
-def _finish(work: abc.Callable[[], exits.Exit]) -> None:
-    sys.exit(exits.run(work))
-
-
 def main() -> None:
     """Run the command line."""
     fire.Fire(PlanTool, name='aspenfold-plan')
