--- a/src/aspenfold/_internal/gateway/forwarding.py
+++ b/src/aspenfold/_internal/gateway/forwarding.py
@@ -110,11 +110,6 @@
     return frozenset(n.strip().lower() for n in value.split(b',') if n)
 
 
-def says_close(headers: Headers) -> bool:
-    """Return whether the connection ends with this message."""
-    return b'close' in _named_in_connection(headers)
-
-
 def parse_load(value: bytes) -> directory.Load | None:
     """Return "running,waiting,capacity", None if it is not that."""
     parts = value.split(b',')
--- a/src/aspenfold/platform/engine.py
+++ b/src/aspenfold/platform/engine.py
@@ -87,7 +87,6 @@
     """Calls the engine behind an endpoint's address."""
 
     def __init__(self) -> None:
-        self.calls = 0
         self._idle: dict[tuple[str, int], http1_client.Connection] = {}
 
     async def report(self, host: str, port: int) -> ranks.Report:
@@ -173,7 +172,6 @@
     async def _call(
         self, host: str, port: int, method: bytes, path: bytes, body: bytes
     ) -> tuple[int, bytes]:
-        self.calls += 1
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 return await self._exchange(host, port, method, path, body)
--- a/src/aspenfold/platform/store.py
+++ b/src/aspenfold/platform/store.py
@@ -37,7 +37,6 @@
             collections.deque()
         )
         self._busy: set[http1_client.Connection] = set()
-        self.calls = 0
 
     async def newest(self, topic: str) -> ports.Page:
         """Return the newest record of each key, over all its pages."""
@@ -105,7 +104,6 @@
         target = f'/api/log-append?{urllib.parse.urlencode(query)}'
         content = bytes([len(key)]) + key.encode() + value
         body = LENGTH.pack(len(content)) + content
-        self.calls += 1
         status, answer = await self._call(b'POST', target, body, 0.0)
         if status == 200:
             return int(orjson.loads(answer)['offset'])
@@ -124,7 +122,6 @@
         self, path: str, query: dict[str, str], wait_s: float
     ) -> bytes:
         target = f'{path}?{urllib.parse.urlencode(query)}'
-        self.calls += 1
         status, body = await self._call(b'GET', target, b'', wait_s)
         if status == 200:
             return body
