Break off a stream whose event never ends; read counts beside the leading

A stream whose event grows over 1 MiB is broken off now and looks so (test_an_event_without_an_end_is_not_kept: a gateway without the change kept 4 MiB and never ended). The leader's reading of counts is a module of its own, no change of what it does. Leaders of several groups no longer overwrite each other's slow ranks.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -197,6 +197,8 @@
                 self._begin_stream(head)
                 answer.data(whole)
                 await answer.room()
+            if cutter.overflows:
+                return outcome.End.OVERSIZED
         self._begin_stream(head)
         if cutter.rest:
             answer.data(cutter.rest)
--- a/src/aspenfold/_internal/gateway/event_stream.py
+++ b/src/aspenfold/_internal/gateway/event_stream.py
@@ -7,7 +7,8 @@
 import re
 
 MAX_EVENT_BYTES = 1_048_576
-"""A larger event is passed on in pieces, and its stream not resumed."""
+"""A stream whose event grows over this is broken off: an endpoint that
+never ends one would fill the gateway's memory.  Events are under 1 KB."""
 
 _END = re.compile(rb'\r?\n\r?\n')
 _ID = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
@@ -21,6 +22,11 @@
         self.events = 0
         self._rest = b''
 
+    @property
+    def overflows(self) -> bool:
+        """Whether an event has grown too large to be kept."""
+        return len(self._rest) > MAX_EVENT_BYTES
+
     @property
     def rest(self) -> bytes:
         """Bytes of an event that is not whole yet."""
--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -10,25 +10,19 @@
 
 from aspenfold._internal.expertmaps import ranks
 from aspenfold._internal.expertmaps import switch as switch_module
+from aspenfold._internal.gateway import count_reader
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import map_planner
 from aspenfold._internal.gateway import outage as outage_module
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import rank_client
-from aspenfold._internal.gateway import sampling
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
 
 TICK_S = 0.02
 """Pace of the switch's timers, half of its shortest, 40 ms."""
 
-SAMPLE_INTERVAL = datetime.timedelta(milliseconds=500)
-"""Pace of reading counts, of one rank after the other."""
-
-HURRIED_INTERVAL = datetime.timedelta(milliseconds=250)
-"""Their pace while the newest counts hint that demand has shifted."""
-
 PACE_INTERVAL = datetime.timedelta(seconds=2)
 """How often all ranks are asked how fast they are: a rank that turns
 slow holds back all, and each asking costs a probe a rank."""
@@ -87,15 +81,12 @@
         self._planner = map_planner.MapPlanner(
             service=service, shape=shape, clock=clock
         )
-        self._turns = 0
-        # Whether agents gave counts the last time.
-        self._free = False
+        self._counts = count_reader.CountReader(
+            ranks_client=ranks_client, planner=self._planner, zone=zone
+        )
         self._paces: dict[int, float] = {}
         self._paced_at: datetime.datetime | None = None
-        self._sampled_at: datetime.datetime | None = None
-        self._whole_at: datetime.datetime | None = None
         self._told_state: switch_module.State | None = None
-        self._sampling: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.ending = False
         self._stopped = False
@@ -129,6 +120,7 @@
                     await self._turn(self._switch)
                 await asyncio.sleep(TICK_S)
         finally:
+            self._counts.cancel()
             for task in self._tasks:
                 task.cancel()
 
@@ -180,7 +172,7 @@
         self._map = current
         self._endpoints = found
         # Demand may be known already: look at once whether a map pays.
-        self._sampled_at = None
+        self._counts.hurry()
         self._switch = switch_module.Switch(
             group=self._group,
             epoch=epoch,
@@ -246,7 +238,9 @@
         self, switch: switch_module.Switch, now: datetime.datetime
     ) -> None:
         """Sample demand, and begin a round where a new map pays."""
-        if not self._sample(now) or not switch.ready or self.ending:
+        if not self._counts.turn(self._endpoints, now):
+            return
+        if not switch.ready or self.ending:
             return
         if switch.version == switch.token and self._next_map:
             self._map = self._next_map
@@ -263,7 +257,7 @@
     def _asks(self, now: datetime.datetime) -> list[switch_module.Action]:
         """Ask the rank that may be held, and at times all for their pace."""
         last = self._paced_at
-        wait = FREE_PACE_INTERVAL if self._free else PACE_INTERVAL
+        wait = FREE_PACE_INTERVAL if self._counts.free else PACE_INTERVAL
         if last is not None and now - last < wait:
             return [switch_module.Ask(rank=switch_module.HOLDER)]
         self._paced_at = now
@@ -274,11 +268,16 @@
 
     def _tell_paces(self) -> None:
         """Let all gateways send less to ranks that are slow."""
+        own = {endpoint.name for endpoint in self._endpoints.values()}
+        # Leaders of other groups may tell theirs here, too.
         paces = {
-            self._endpoints[rank].name: round(pace, 2)
-            for rank, pace in self._paces.items()
-            if pace >= SLOW_PACE and rank in self._endpoints
+            name: pace
+            for name, pace in self._peers.paces.items()
+            if name not in own
         }
+        for rank, pace in self._paces.items():
+            if pace >= SLOW_PACE and rank in self._endpoints:
+                paces[self._endpoints[rank].name] = round(pace, 2)
         if paces != self._peers.paces:
             self._peers.paces = paces
             self._members.take_paces(paces)
@@ -286,66 +285,6 @@
                 events.Event.RANKS_SLOW, group=self._group, paces=paces
             )
 
-    def _sample(self, now: datetime.datetime) -> bool:
-        """Begin to read counts if that is due; return whether it was.
-
-        Nothing waits for them: a rank that is slow to answer must not
-        keep a held group waiting.
-        """
-        last = self._sampled_at
-        if last is not None and now - last < self._sample_interval():
-            return False
-        if self._sampling is not None and not self._sampling.done():
-            return False
-        self._sampled_at = now
-        self._turns += 1
-        whole = self._whole_at
-        if whole is None or now - whole >= sampling.GROUP_INTERVAL:
-            self._whole_at = now
-        task = asyncio.create_task(self._read_counts(self._whole_at == now))
-        self._sampling = task
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return True
-
-    def _sample_interval(self) -> datetime.timedelta:
-        if self._free:
-            return sampling.ZONE_INTERVAL
-        return HURRIED_INTERVAL if self._planner.hurried else SAMPLE_INTERVAL
-
-    async def _read_counts(self, whole: bool) -> None:
-        """Read counts: those that cost nothing if there are any."""
-        self._free = await self._counts(free=True, whole=whole)
-        if not self._free:
-            await self._counts(free=False, whole=False)
-        self._planner.settle()
-
-    async def _counts(self, *, free: bool, whole: bool) -> bool:
-        """Read counts; ``free``: only those that cost nothing.
-
-        Return whether any were read.
-        """
-        chosen = sampling.chosen(
-            self._endpoints,
-            zone=self._zone,
-            free=free,
-            turn=self._turns,
-            whole=whole,
-        )
-        read = await asyncio.gather(
-            *(
-                self._ranks.counts(self._endpoints[rank], free=free)
-                for rank in chosen
-            )
-        )
-        for rank, counts in zip(chosen, read, strict=True):
-            if counts is None:
-                continue
-            self._planner.sample(rank, counts)
-            # Requests are answered between the samples.
-            await asyncio.sleep(0)
-        return any(counts is not None for counts in read)
-
     # -- carrying out ----------------------------------------------------
 
     def _perform(
--- a/src/aspenfold/_internal/gateway/outcome.py
+++ b/src/aspenfold/_internal/gateway/outcome.py
@@ -33,13 +33,16 @@
     ANSWERED = 'answered'
     """A whole answer came."""
 
+    OVERSIZED = 'oversized'
+    """The answer has a part that is too large to be kept."""
+
     TIMED_OUT = 'timed-out'
     """No whole answer came in time; the request may have run."""
 
 
 NOT_RUN = frozenset({End.NOT_SENT, End.DECLINED, End.DOWN, End.REPLACED})
 
-FINAL = frozenset({End.TIMED_OUT, End.DOWN})
+FINAL = frozenset({End.TIMED_OUT, End.DOWN, End.OVERSIZED})
 """Ends after which no other endpoint would do better."""
 
 
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -3,13 +3,18 @@
 import asyncio
 from collections import abc
 
+from aspenfold_standins import http11
 from aspenfold_standins import platform_worker as workers
 import pytest
 
+from aspenfold._internal.gateway import event_stream
 from tests.lib import gateway_rig as rigs
 
 SEAL = 'x-aspenfold-response-seal'
 
+ENDLESS_PART = 65_536
+"""Bytes that an endpoint writes at once of an event without an end."""
+
 
 def play(
     scene: abc.Callable[[rigs.Rig], abc.Awaitable[None]],
@@ -501,3 +506,30 @@
         writer.close()
 
     play(scene)
+
+
+async def endless_event(
+    worker: workers.Worker, exchange: http11.Exchange
+) -> None:
+    """Give one event, and begin another that never ends."""
+    worker.ran(exchange)
+    lines = [f'{n}: {v}' for n, v in worker.headers(exchange).items()]
+    lines += ['content-type: text/event-stream']
+    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines])
+    await exchange.write(head.encode() + b'\r\n\r\n' + workers.event(1))
+    for _ in range(4 * event_stream.MAX_EVENT_BYTES // ENDLESS_PART):
+        await exchange.write(b'x' * ENDLESS_PART)
+    await asyncio.Event().wait()
+
+
+def test_an_event_without_an_end_is_not_kept() -> None:
+    """The stream is broken off, and looks so; no other endpoint is asked."""
+
+    async def scene(rig: rigs.Rig) -> None:
+        await two(rig, endless_event, endless_event)
+        answer = await rig.ask('/stream/')
+        assert answer.status == 200
+        assert not answer.whole
+        assert runs(rig) == 1
+
+    play(scene)
