Give the soak's agents fresh reports; correct two tests

The soak's ranks gave their own agents reports as old as to anybody else, which gateways now take to be fresh: each rank has a second port for its agent with reports that are, as on the users' pages.

--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -531,5 +531,8 @@
         assert answer.status == 200
         assert not answer.whole
         assert runs(rig) == 1
+        # Not by the route's timeout, up to which it would be kept.
+        told = rig.process._core.metrics.text().decode()
+        assert 'aspenfold_broken_streams_total{label="oversized"} 1.0' in told
 
     play(scene)
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -10,6 +10,7 @@
 from aspenfold_standins import http11
 import pytest
 
+from tests.lib import free_ports
 from tests.soak import ledger as ledger_module
 from tests.soak import main
 from tests.soak import promises
@@ -117,7 +118,10 @@
         assert process.stdout is not None
         await process.stdout.readline()
         gateway = system_module.Gateway(
-            name='g', host='127.0.0.1', folder=tmp_path
+            name='g',
+            host='127.0.0.1',
+            folder=tmp_path,
+            internal=free_ports.pair(['127.0.0.1']),
         )
         log = tmp_path / 'g-1.log'
         log.write_text('')
--- a/tests/soak/group.py
+++ b/tests/soak/group.py
@@ -92,9 +92,9 @@
 
     # -- calls -----------------------------------------------------------
 
-    def report(self, rank: int) -> dict[str, object] | None:
+    def report(self, rank: int, *, fresh: bool) -> dict[str, object] | None:
         """Return a rank's report as it goes over the wire."""
-        found = self.world.report(rank)
+        found = self.world.report(rank, fresh=fresh)
         if found is None:
             return None
         armed = found.armed
@@ -159,18 +159,25 @@
 
 
 class RankWorker(platform_worker.Worker):
-    """An endpoint that is one rank of a group."""
+    """An endpoint that is one rank of a group.
 
-    def __init__(self, name: str, *, group: Group, rank: int) -> None:
+    Its own host gets ``fresh`` reports, at a port of its own here.
+    """
+
+    def __init__(
+        self, name: str, *, group: Group, rank: int, fresh: bool = False
+    ) -> None:
         super().__init__(name)
         self._group = group
         self._rank = rank
+        self._fresh = fresh
 
     async def _handle(self, exchange: http11.Exchange) -> None:
         path, _, query = exchange.request.target.partition('?')
         match path:
             case '/api/report':
-                await _json(exchange, self._group.report(self._rank))
+                found = self._group.report(self._rank, fresh=self._fresh)
+                await _json(exchange, found)
             case '/api/picked':
                 found = self._group.picked(self._rank, 'lists' in query)
                 await _json(exchange, found)
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -233,6 +233,7 @@
         self.group = group_module.Group(size=GROUP_SIZE, rng=rng)
         self.endpoints: list[Endpoint] = []
         self.gone: list[Endpoint] = []
+        self._for_agents: list[group_module.RankWorker] = []
         self.version = 0
         self.accepted_at = 0.0
         self.extra_routes: list[str] = []
@@ -300,6 +301,8 @@
         for gateway in self.gateways:
             await gateway.front.stop()
             await gateway.store.stop()
+        for worker in self._for_agents:
+            await worker.stop()
         for endpoint in [*self.endpoints, *self.gone]:
             await endpoint.worker.stop()
             await endpoint.link.stop()
@@ -319,8 +322,13 @@
             f'rank-{rank}', group=self.group, rank=rank
         )
         worker.script = sound
-        found = await self._list(worker, 'model', host.host)
-        host.engine_port = found.worker.port
+        await self._list(worker, 'model', host.host)
+        for_agent = group_module.RankWorker(
+            worker.name, group=self.group, rank=rank, fresh=True
+        )
+        await for_agent.start()
+        self._for_agents.append(for_agent)
+        host.engine_port = for_agent.port
 
     async def _list(
         self,
