--- a/src/aspenfold/_internal/processes/rank_agent.py
+++ b/src/aspenfold/_internal/processes/rank_agent.py
@@ -6,6 +6,8 @@
 
 import asyncio
 from collections import abc
+import contextlib
+import datetime
 import signal
 
 from aspenfold._internal.gateway import plan
@@ -16,6 +18,12 @@
 from aspenfold._internal.network import port_errors
 from aspenfold._internal.observability import events
 
+FINISH_LIMIT = datetime.timedelta(milliseconds=500)
+"""Longest wait of an ending agent for what is under way: an engine's client
+gives a call up after 0.4 s."""
+
+FINISH_POLL = datetime.timedelta(milliseconds=10)
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -45,6 +53,7 @@
             clock=clock,
             limits=lambda: plan.DEFAULT_LIMITS,
         )
+        self._in_flight = 0
         self.passed_on = 0
         self.silent = 0
 
@@ -56,8 +65,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
         await self._stop.wait()
-        # A leader that loses a call here goes to the engine itself.
-        self.close()
+        await self.finish()
         signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
 
     async def start(self) -> None:
@@ -77,9 +85,26 @@
             engine=str(self._cfg.engine),
         )
 
-    def close(self) -> None:
-        """Stop serving."""
+    async def finish(self) -> None:
+        """Stop serving, once what is under way has been answered.
+
+        Connections that wait for a next call are closed: one that came
+        while the process ends would be lost in it.
+        """
+        self._server.closing = True
         self._server.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FINISH_LIMIT.total_seconds()):
+                while self._in_flight:
+                    self._server.close_idle()
+                    await asyncio.sleep(FINISH_POLL.total_seconds())
+        self._server.close_idle()
+        if self._in_flight:
+            events.emit(
+                events.Event.DRAIN_LIMIT,
+                name=self._cfg.name,
+                in_flight=self._in_flight,
+            )
         events.emit(
             events.Event.STOPPED,
             name=self._cfg.name,
@@ -97,6 +122,15 @@
         if not self._passes_on(request):
             _answer(answer, 404, b'')
             return
+        self._in_flight += 1
+        try:
+            await self._pass_on(request, answer)
+        finally:
+            self._in_flight -= 1
+
+    async def _pass_on(
+        self, request: http1_server.Request, answer: http1_server.Answer
+    ) -> None:
         engine = self._cfg.engine
         try:
             status, body = await self._engine.forward(
--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -95,7 +95,7 @@
         answer = await client.order(rigs.LOOPBACK, port, order)
         assert answer is ranks.Answer.ACCEPTED
         assert group.world.ranks[0].held == order.step
-        one.close()
+        await one.finish()
         await rank.stop()
 
     asyncio.run(run())
@@ -114,7 +114,43 @@
         with pytest.raises(ports.EngineSilent):
             await ask(port, engine_module.REPORT)
         assert one.silent == 1
-        one.close()
+        await one.finish()
+        await rank.stop()
+
+    asyncio.run(run())
+
+
+class SlowRank(group_module.RankWorker):
+    """A rank that takes a while for its answers."""
+
+    asked = 0
+
+    async def _handle(self, exchange: http11.Exchange) -> None:
+        self.asked += 1
+        await asyncio.sleep(0.2)
+        await super()._handle(exchange)
+
+
+def test_an_agent_that_ends_answers_what_is_under_way() -> None:
+    """And closes connections on which a call might come as it ends."""
+
+    async def run() -> None:
+        group = group_module.Group(size=1, rng=random.Random(1))
+        rank = SlowRank('r', group=group, rank=0)
+        await rank.start()
+        (port,) = free_ports.distinct(rigs.LOOPBACK, 1)
+        one = agent(port, rank)
+        await one.start()
+        reader, writer = await asyncio.open_connection(rigs.LOOPBACK, port)
+        asking = asyncio.ensure_future(ask(port, engine_module.COUNTS))
+        await rigs.until(lambda: rank.asked)
+        await one.finish()
+        status, _ = await asking
+        assert status == 200
+        assert await asyncio.wait_for(reader.read(), rigs.WAIT_S) == b''
+        writer.close()
+        with pytest.raises(ports.EngineSilent):
+            await ask(port, engine_module.COUNTS)
         await rank.stop()
 
     asyncio.run(run())
