--- a/src/aspenfold/_internal/gateway/group_leader.py
+++ b/src/aspenfold/_internal/gateway/group_leader.py
@@ -71,7 +71,6 @@
         self._first_token = token * TOKENS_A_TERM
         self._members = members
         self._ranks = ranks_client
-        self._zone = zone
         self._clock = clock
         self._peers = peers
         self._switch: switch_module.Switch | None = None
--- a/src/aspenfold/_internal/gateway/map_planner.py
+++ b/src/aspenfold/_internal/gateway/map_planner.py
@@ -1,7 +1,6 @@
 """Whether a group's demand asks for a new expert map, and which.
 
-Planning gives way to requests between its steps: a whole plan takes a
-leader's processor for 0.2 s with 72 ranks.
+Planning gives way to requests between its steps.
 """
 
 import asyncio
@@ -18,10 +17,10 @@
 
 HURRY_GAIN = 0.2
 """Skew over the best that is known to be reached, from which on counts
-are read faster; about half of what a change of map must promise."""
+are read faster: the next plan is likely to pay."""
 
 PLAN_INTERVAL = datetime.timedelta(seconds=3)
-"""A whole plan is made this often also where none seems to pay: the best
+"""A stage is planned this often also where none seems to pay: the best
 that can be reached may have changed."""
 
 MIN_SKEW_GAIN = 0.2
@@ -50,7 +49,7 @@
         self._demand = demand_module.Demand(
             sets=shape.sets, experts=shape.experts
         )
-        # The skew that the last whole plan came to.
+        # The skew at which the last stage that was planned did not pay.
         self._reached: float | None = None
         self._planned_at: datetime.datetime | None = None
         self.hurried = False
@@ -126,7 +125,7 @@
         return min(most, max(1, STAGE_TIME // self._shape.copy_time))
 
     def _worth_planning(self) -> bool:
-        """Return whether a whole plan may pay; set the pace of counts."""
+        """Return whether a stage may pay; set the pace of counts."""
         if self._reached is None or self._planned_at is None:
             return True
         gain = self.skew - self._reached
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -53,8 +53,8 @@
 INTERVAL_PER_FAR_PEER = datetime.timedelta(milliseconds=50)
 """Added for each peer of another zone, which bounds the datagrams there to
 20 a second: bytes between zones are paid for, and requests go to other
-zones only where the own one is clearly fuller.  At 4 ms 32 gateways sent
-0.1 GB between zones in 45 s, a quarter of their prices."""
+zones only where the own one is clearly fuller.  At 4 ms 32 gateways would
+send some 0.1 GB between zones in 45 s, by reckoning."""
 
 MAX_BYTES = 1400
 """Largest datagram, under the packet size of common networks."""
@@ -91,7 +91,7 @@
     addresses: abc.Sequence[settings.TcpAddress]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Sent:
     """What some peers were told last, and when."""
 
@@ -284,12 +284,13 @@
         near_wait = MIN_INTERVAL + INTERVAL_PER_PEER * len(near)
         far_wait = MIN_INTERVAL + INTERVAL_PER_FAR_PEER * len(far)
         due: list[settings.TcpAddress] = []
-        if near and self._is_due(self._near_sent, now, soon, near_wait):
+        sending = _Sent(at=now, news=news, counts=counts)
+        if near and self._is_due(self._near_sent, sending, soon, near_wait):
             due += near
-            self._near_sent = _Sent(at=now, news=news, counts=counts)
-        if far and self._is_due(self._far_sent, now, soon, far_wait):
+            self._near_sent = sending
+        if far and self._is_due(self._far_sent, sending, soon, far_wait):
             due += far
-            self._far_sent = _Sent(at=now, news=news, counts=counts)
+            self._far_sent = sending
         if not due:
             return None
         self._number += 1
@@ -329,15 +330,15 @@
     def _is_due(
         self,
         sent: _Sent,
-        now: datetime.datetime,
+        sending: _Sent,
         news_wait: datetime.timedelta,
         counts_wait: datetime.timedelta,
     ) -> bool:
-        if sent.at is None:
+        if sent.at is None or sending.at is None:
             return True
         wait = LEADING_INTERVAL if self.token else REST_INTERVAL
-        if sent.counts != self._members.in_flight():
+        if sent.counts != sending.counts:
             wait = min(wait, counts_wait)
-        if sent.news != self._news():
+        if sent.news != sending.news:
             wait = min(wait, news_wait)
-        return now - sent.at >= wait
+        return sending.at - sent.at >= wait
--- a/src/aspenfold/_internal/gateway/rank_client.py
+++ b/src/aspenfold/_internal/gateway/rank_client.py
@@ -18,8 +18,10 @@
 """
 
 import asyncio
+from collections import abc
 import dataclasses
 import datetime
+import typing
 
 from aspenfold._internal.expertmaps import ranks
 from aspenfold._internal.gateway import directory
@@ -48,6 +50,18 @@
     orders_over_until: datetime.datetime | None = None
 
 
+T = typing.TypeVar('T')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Asked(typing.Generic[T]):
+    """An answer, how long it took, and whether an agent passed it on."""
+
+    answer: T
+    took: datetime.timedelta
+    by_agent: bool
+
+
 class RankClient:
     """Calls ranks for one leader."""
 
@@ -71,21 +85,13 @@
 
         ``free``: only through its agent.
         """
-        for address in self._addresses(endpoint):
-            if free and address.port != self._agent_port:
-                return None
-            asked_at = self._clock.now()
-            try:
-                found = await self._engine.report(address.host, address.port)
-            except ports.EngineSilent as exc:
-                self._silent(address, exc)
-                continue
-            self._answered(address)
-            age = self._clock.now() - asked_at
-            if address.port != self._agent_port:
-                age += ranks.REPORT_LAG
-            return dataclasses.replace(found, age=age)
-        return None
+        asked = await self._ask(endpoint, self._engine.report, free=free)
+        if asked is None:
+            return None
+        age = asked.took
+        if not asked.by_agent:
+            age += ranks.REPORT_LAG
+        return dataclasses.replace(asked.answer, age=age)
 
     async def counts(
         self, endpoint: directory.Endpoint, *, free: bool = False
@@ -94,28 +100,35 @@
 
         ``free``: only through its agent.
         """
-        for address in self._addresses(endpoint):
-            if free and address.port != self._agent_port:
-                return None
-            try:
-                found = await self._engine.counts(address.host, address.port)
-            except ports.EngineSilent as exc:
-                self._silent(address, exc)
-                continue
-            self._answered(address)
-            return found
-        return None
+        asked = await self._ask(endpoint, self._engine.counts, free=free)
+        return None if asked is None else asked.answer
 
     async def held(self, endpoint: directory.Endpoint) -> ranks.RankMap | None:
         """Return the experts that a rank uses, None if it is silent."""
+        asked = await self._ask(endpoint, self._engine.held)
+        return None if asked is None else asked.answer
+
+    async def _ask(
+        self,
+        endpoint: directory.Endpoint,
+        question: abc.Callable[[str, int], abc.Awaitable[T]],
+        *,
+        free: bool = False,
+    ) -> _Asked[T] | None:
+        """Ask the rank's agent, then its engine; None if both are silent."""
         for address in self._addresses(endpoint):
+            by_agent = address.port == self._agent_port
+            if free and not by_agent:
+                return None
+            asked_at = self._clock.now()
             try:
-                found = await self._engine.held(address.host, address.port)
+                answer = await question(address.host, address.port)
             except ports.EngineSilent as exc:
                 self._silent(address, exc)
                 continue
             self._answered(address)
-            return found
+            took = self._clock.now() - asked_at
+            return _Asked(answer=answer, took=took, by_agent=by_agent)
         return None
 
     async def order(
--- a/src/aspenfold/_internal/gateway/sampling.py
+++ b/src/aspenfold/_internal/gateway/sampling.py
@@ -20,7 +20,8 @@
 
 FAR_RANKS = 8
 """Most of these in other zones: each answer is 2 to 10 KB, and all 72
-ranks of a service cost 0.1 GB between zones in 45 s."""
+ranks of a service would be some 0.1 GB between zones in 45 s, by
+reckoning."""
 
 
 ZONE_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -30,7 +31,7 @@
 GROUP_INTERVAL = datetime.timedelta(milliseconds=300)
 """The same of all ranks, and of a group that has none in the leader's zone:
 bytes between zones are paid for.  Eight ranks of each of two such groups,
-read each 100 ms, are 0.09 GB in 55 s at 10 KB an answer."""
+read each 100 ms, would be 0.09 GB in 55 s at some 10 KB an answer."""
 
 
 def interval(
