--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -45,6 +45,7 @@
             number=self._history.attempts_sent + 1,
             endpoint=endpoint.name,
             pressure=round(endpoint.pressure, 2),
+            rate_limit=endpoint.rate_limit,
             left_ms=self._call.remaining_ms,
             plan=self._core.plan_version,
         )
@@ -142,6 +143,7 @@
         The result is ANSWERED if the body has to be read.
         """
         headers = list(head.headers)
+        self._core.unknown_headers.check(self._endpoint.name, headers)
         load = forwarding.header(headers, self._names.load)
         if load:
             reported_load = forwarding.parse_load(load)
@@ -149,6 +151,7 @@
                 self._endpoint.update_load(reported_load)
         if head.status_code == 421:
             return outcome.AttemptResult.REPLACED
+        self._record_rate_limit(headers)
         if forwarding.header(headers, self._names.not_run):
             return self._refusal_result()
         echoed = forwarding.header(headers, self._names.attempt_id)
@@ -157,6 +160,20 @@
             return outcome.AttemptResult.LOST
         return outcome.AttemptResult.ANSWERED
 
+    def _record_rate_limit(self, headers: forwarding.Headers) -> None:
+        value = forwarding.header(headers, self._names.rate_limit)
+        try:
+            rate_limit = forwarding.parse_rate_limit(value) if value else None
+        except ValueError as exc:
+            events.emit(
+                events.Event.HEADER_INVALID,
+                endpoint=self._endpoint.name,
+                name=self._names.rate_limit.decode('latin-1'),
+                error=str(exc)[:200],
+            )
+            return
+        self._core.directory.record_rate_limit(self._endpoint, rate_limit)
+
     def _refusal_result(self) -> outcome.AttemptResult:
         """Return the result of a refusal.
 
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -12,6 +12,7 @@
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index as plan_index_module
 from aspenfold._internal.gateway import settings
+from aspenfold._internal.gateway import unknown_headers
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.kernel import registry
 from aspenfold._internal.observability import events
@@ -49,6 +50,9 @@
         self.clock = clock
         self.rng = rng
         self.forwarding = forwarding.Forwarding(header_names=header_names)
+        self.unknown_headers = unknown_headers.UnknownHeaders(
+            header_names=header_names
+        )
         self.directory = directory_module.Directory()
         self.metrics = metrics_module.Metrics()
         self.plan_index: plan_index_module.PlanIndex | None = None
--- a/src/aspenfold/_internal/gateway/forwarding.py
+++ b/src/aspenfold/_internal/gateway/forwarding.py
@@ -1,5 +1,7 @@
 """Selects the headers to forward to endpoints and to callers."""
 
+import math
+
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import header_names as header_names_module
 from aspenfold._internal.network import http1_client
@@ -125,3 +127,14 @@
         return None
     running, waiting, capacity = (int(p) for p in parts)
     return directory.Load(running=running, waiting=waiting, capacity=capacity)
+
+
+def parse_rate_limit(value: bytes) -> float:
+    """Parse a decimal number of requests a second.
+
+    Raises :class:`ValueError` if it is malformed, negative or not finite.
+    """
+    rate_limit = float(value)
+    if not math.isfinite(rate_limit) or rate_limit < 0:
+        raise ValueError(f'{rate_limit} is not a rate of requests')
+    return rate_limit
--- a/src/aspenfold/_internal/gateway/header_names.py
+++ b/src/aspenfold/_internal/gateway/header_names.py
@@ -1,9 +1,10 @@
 """Names of the HTTP headers that a platform uses."""
 
 import dataclasses
+import functools
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True)
 class HeaderNames:
     """Lower-case header names.
 
@@ -17,8 +18,14 @@
     organisation: bytes
     not_run: bytes
     load: bytes
+    rate_limit: bytes
     signature: bytes
     last_event_id: bytes
     priority: bytes
     token_usage: bytes
     length_hint: bytes
+
+    @functools.cached_property
+    def all(self) -> frozenset[bytes]:
+        """All of these names."""
+        return frozenset(dataclasses.astuple(self))
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/unknown_headers.py
@@ -0,0 +1,61 @@
+"""Logs headers of endpoints' responses that the gateway does not know.
+
+An endpoint may state something that gateways of this version ignore; such a
+line is the only trace of it.
+"""
+
+from collections import abc
+
+from aspenfold._internal.gateway import forwarding
+from aspenfold._internal.gateway import header_names as header_names_module
+from aspenfold._internal.observability import events
+
+ORDINARY_HEADERS = frozenset(
+    {
+        b'cache-control',
+        b'content-encoding',
+        b'content-length',
+        b'content-type',
+        b'date',
+        b'etag',
+        b'last-modified',
+        b'retry-after',
+        b'server',
+        b'vary',
+    }
+)
+"""Headers of any HTTP response that say nothing to a gateway."""
+
+MAX_NAMES = 64
+"""Names that are logged at most, as a faulty endpoint may invent many."""
+
+MAX_LOGGED_BYTES = 80
+"""Length to which a name is cut in the log."""
+
+
+class UnknownHeaders:
+    """Logs each unknown header name once."""
+
+    def __init__(
+        self, *, header_names: header_names_module.HeaderNames
+    ) -> None:
+        self._known = (
+            ORDINARY_HEADERS | forwarding.HOP_BY_HOP | header_names.all
+        )
+        self._logged: set[bytes] = set()
+
+    def check(
+        self, endpoint: str, headers: abc.Iterable[tuple[bytes, bytes]]
+    ) -> None:
+        """Log the names in a response of ``endpoint`` that are new here."""
+        for name, _ in headers:
+            if name in self._known or name in self._logged:
+                continue
+            if len(self._logged) >= MAX_NAMES:
+                return
+            self._logged.add(name)
+            events.emit(
+                events.Event.HEADER_UNKNOWN,
+                endpoint=endpoint,
+                name=name[:MAX_LOGGED_BYTES].decode('latin-1'),
+            )
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -45,6 +45,9 @@
     ENDPOINT_GONE = 503
     ENDPOINT_DOUBTED = 504
     ROSTER_UNSURE = 505
+    ENDPOINT_LIMITED = 506
+    HEADER_UNKNOWN = 507
+    HEADER_INVALID = 508
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -95,6 +98,10 @@
     Event.ENDPOINT_GONE: 'an endpoint was removed from the list',
     Event.ENDPOINT_DOUBTED: 'a gateway stops using an endpoint for a while',
     Event.ROSTER_UNSURE: 'the list of gateways could not be read',
+    Event.ENDPOINT_LIMITED: 'an endpoint stated, changed or lifted its rate '
+    'limit',
+    Event.HEADER_UNKNOWN: 'an endpoint sent a header that is not known here',
+    Event.HEADER_INVALID: 'an endpoint sent a header with an invalid value',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/src/aspenfold/platform/headers.py
+++ b/src/aspenfold/platform/headers.py
@@ -15,6 +15,9 @@
     not_run=b'x-aspenfold-not-executed',
     # The endpoint's running and waiting requests, and its capacity.
     load=b'x-aspenfold-instance-load',
+    # Requests a second, a decimal number, that the endpoint takes from all
+    # gateways together while its responses say so.
+    rate_limit=b'server-limit',
     # The endpoint's signature of the response; passed on unchanged.
     signature=b'x-aspenfold-response-seal',
     last_event_id=b'last-event-id',
