Pass over exactly the tests that KNOWN-RED.txt lists

A small pytest plug-in marks the listed tests as expected to fail, prints them, and fails the run if one of them passes, if an entry is malformed or if its test does not exist.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 import hypothesis
 import pytest
 
+from tests.lib import known_red
+
 EXPLORING = os.environ.get('ASPENFOLD_PROFILE') == 'explore'
 
 hypothesis.settings.register_profile(
@@ -34,3 +36,8 @@
         first = int(os.environ.get('ASPENFOLD_FIRST_SEED', '10000'))
         return range(first, first + 1000)
     return range(40)
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Pass over the failing tests that are listed."""
+    config.pluginmanager.register(known_red.Plugin(root=config.rootpath))
