--- a/standins/aspenfold_standins/platform_worker.py
+++ b/standins/aspenfold_standins/platform_worker.py
@@ -12,6 +12,7 @@
 
 SEAL_HEADER = 'X-Aspenfold-Response-Seal'
 ATTEMPT_HEADER = 'x-aspenfold-attempt-id'
+RATE_LIMIT_HEADER = 'Server-Limit'
 
 Script = abc.Callable[['Worker', http11.Exchange], abc.Awaitable[None]]
 
@@ -20,7 +21,8 @@
     """One incarnation of an endpoint.
 
     ``script`` writes the response to each request; ``executions`` counts
-    the executions of each attempt id.
+    the executions of each attempt id.  Unless it is None, responses state
+    ``rate_limit``, the requests a second that it takes from all gateways.
     """
 
     def __init__(self, name: str, *, slots: int = 6) -> None:
@@ -32,6 +34,7 @@
         self.cancelled_count = 0
         self.event_count = 10
         self.event_interval_s = 0.0
+        self.rate_limit: float | None = None
         self._server = http11.Server(self._handle)
 
     async def start(self, port: int = 0) -> None:
@@ -63,7 +66,10 @@
     def response_headers(self, exchange: http11.Exchange) -> dict[str, str]:
         """Return the headers that mark a response of an executed attempt."""
         attempt = exchange.request.headers.get(ATTEMPT_HEADER, '')
-        return {SEAL_HEADER: f'seal-{self.name}', ATTEMPT_HEADER: attempt}
+        headers = {SEAL_HEADER: f'seal-{self.name}', ATTEMPT_HEADER: attempt}
+        if self.rate_limit is not None:
+            headers[RATE_LIMIT_HEADER] = str(self.rate_limit)
+        return headers
 
     def record_execution(self, exchange: http11.Exchange) -> None:
         """Count an execution of the request's attempt."""
--- /dev/null
+++ b/tests/lib/gateway_set.py
@@ -0,0 +1,82 @@
+"""Gateways of one zone, over real sockets, with faults of their links."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+
+from aspenfold._internal.processes import gateway
+from tests.lib import free_ports
+from tests.lib import gateway_rig as rigs
+from tests.soak import links
+
+NETWORK = '127.0.7'
+
+
+@dataclasses.dataclass
+class GatewaySet:
+    """Gateways of one zone, each with its own link to the store."""
+
+    rig: rigs.Rig
+    processes: list[gateway.GatewayProcess]
+    links: list[links.LinkProxy]
+
+    async def request(self, number: int, path: str) -> rigs.Response:
+        """Send a request to a gateway on a new connection."""
+        reader, writer = await asyncio.open_connection(
+            address(number), self.processes[number - 1].port
+        )
+        writer.write(self.rig.request_head(path)[1])
+        try:
+            return await rigs.read_response(reader)
+        finally:
+            writer.close()
+
+
+def address(number: int) -> str:
+    """Return the IP address of a gateway; numbers start at 1."""
+    return f'{NETWORK}.{number}'
+
+
+@contextlib.asynccontextmanager
+async def running_gateways(count: int) -> abc.AsyncIterator[GatewaySet]:
+    """Yield gateways, of which all but the first follow the first."""
+    rig = rigs.Rig()
+    await rig.store.start()
+    await rig.write_plan(rigs.make_plan())
+    await rig.add_worker('w-1')
+    gateways = GatewaySet(rig=rig, processes=[], links=[])
+    (port,) = free_ports.find_ports(address(1), 1)
+    try:
+        for number in range(1, count + 1):
+            await _start_gateway(gateways, number, port)
+        processes = gateways.processes
+        await rigs.wait_until(lambda: all(p.ready for p in processes))
+        await rigs.wait_until(lambda: processes[0].followers == count - 1)
+        yield gateways
+    finally:
+        for process in gateways.processes:
+            await process.abort()
+        for link in gateways.links:
+            await link.stop()
+        for worker in rig.workers:
+            await worker.stop()
+        await rig.store.stop()
+
+
+async def _start_gateway(
+    gateways: GatewaySet, number: int, peer_port: int
+) -> None:
+    link = links.LinkProxy(
+        target_host=rigs.LOOPBACK, target_port=gateways.rig.store.port
+    )
+    await link.start()
+    gateways.links.append(link)
+    process = rigs.make_gateway(
+        name=f'gateway-{number}',
+        address=address(number),
+        peer_port=peer_port,
+        store_port=link.port,
+    )
+    gateways.processes.append(process)
+    await process.start()
