--- a/src/aspenfold/_internal/admission/limiter.py
+++ b/src/aspenfold/_internal/admission/limiter.py
@@ -9,45 +9,15 @@
 import datetime
 
 from aspenfold._internal import exceptions
+from aspenfold._internal.kernel import token_bucket
 from aspenfold._internal.models import fleet
 
 ONE_SECOND = datetime.timedelta(seconds=1)
 
 
-class TokenBucket:
-    """Token bucket with ``rate`` tokens per second, at most ``burst``.
-
-    The caller passes in the current time.
-    """
-
-    def __init__(
-        self, *, rate: float, burst: float, now: datetime.datetime
-    ) -> None:
-        self._rate = rate
-        self._burst = burst
-        self._tokens = burst
-        self._updated_at = now
-
-    def set_rate(self, rate: float, burst: float) -> None:
-        """Change the rate and burst; excess tokens are discarded."""
-        self._rate = rate
-        self._burst = burst
-        self._tokens = min(self._tokens, burst)
-
-    def take(self, now: datetime.datetime) -> datetime.timedelta | None:
-        """Take a token and return None, or return the wait for one."""
-        elapsed = max(0.0, (now - self._updated_at) / ONE_SECOND)
-        self._updated_at = max(now, self._updated_at)
-        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
-        if self._tokens >= 1:
-            self._tokens -= 1
-            return None
-        return ONE_SECOND * ((1 - self._tokens) / self._rate)
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Usage:
-    bucket: TokenBucket
+    bucket: token_bucket.TokenBucket
     limits: fleet.Limits
     share: float
     in_flight: int = 0
@@ -103,11 +73,11 @@
         rate = limits.requests_per_second * self._share
         burst = max(1.0, limits.burst * self._share)
         if usage is None:
-            bucket = TokenBucket(rate=rate, burst=burst, now=now)
+            bucket = token_bucket.TokenBucket(rate=rate, burst=burst, now=now)
             usage = _Usage(bucket=bucket, limits=limits, share=self._share)
             self._usage[organisation.name] = usage
         elif usage.limits != limits or usage.share != self._share:
             usage.limits = limits
             usage.share = self._share
-            usage.bucket.set_rate(rate, burst)
+            usage.bucket.set_rate(rate, burst, now)
         return usage
