Keep endpoints' rate limits over all gateways together

Cause: no decision knew the limit. An endpoint was chosen by its load alone, and one that asks for less is nearly idle, so that every gateway of its zone preferred it. The class of fault: a limit over all gateways that each gateway sees only its own part of.

Where no endpoint is left a request is refused at once with code 1104.

--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -40,6 +40,7 @@
     TOO_MANY_IN_FLIGHT = 1101
     OVERLOADED = 1102
     NO_PLACE = 1103
+    ENDPOINTS_AT_LIMIT = 1104
     NO_ENDPOINT = 1200
     DRAINING = 1201
     DEADLINE_PASSED = 1202
@@ -89,6 +90,8 @@
     'deadline',
     Code.NO_PLACE: 'every rank is at its request limit; retry after '
     '`Retry-After`',
+    Code.ENDPOINTS_AT_LIMIT: 'every endpoint is at the rate limit that it '
+    'states; retry after `Retry-After`',
     Code.NO_ENDPOINT: 'no endpoint of the service accepts requests',
     Code.DRAINING: 'the entry or the endpoint is shutting down',
     Code.DEADLINE_PASSED: 'the deadline passed before the call started',
--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -1,6 +1,7 @@
 """One attempt to serve a request at an endpoint."""
 
 import asyncio
+import datetime
 
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import core as core_module
@@ -45,7 +46,7 @@
             number=self._history.attempts_sent + 1,
             endpoint=endpoint.name,
             pressure=round(endpoint.pressure, 2),
-            rate_limit=endpoint.rate_limit,
+            rate_limit=self._core.rate_limits.rate(endpoint.name),
             left_ms=self._call.remaining_ms,
             plan=self._core.plan_version,
         )
@@ -81,6 +82,7 @@
         request = self._call.request
         headers = self._headers()
         may_have_run_before = history.may_have_run
+        sent_at = self._core.clock.now()
         history.attempts_sent += 1
         history.may_have_run = True
         try:
@@ -88,7 +90,7 @@
                 request.method, request.target, headers, request.body
             )
             head = await self._read_head(connection)
-            result = self._evaluate_head(head)
+            result = self._evaluate_head(head, sent_at)
             if result in outcome.NOT_RUN:
                 history.may_have_run = may_have_run_before
                 return result
@@ -136,9 +138,9 @@
         )
 
     def _evaluate_head(
-        self, head: http1_client.ResponseHead
+        self, head: http1_client.ResponseHead, sent_at: datetime.datetime
     ) -> outcome.AttemptResult:
-        """Return the result that the head implies and update the load.
+        """Return the result that the head implies and update the endpoint.
 
         The result is ANSWERED if the body has to be read.
         """
@@ -151,19 +153,32 @@
                 self._endpoint.update_load(reported_load)
         if head.status_code == 421:
             return outcome.AttemptResult.REPLACED
-        self._record_rate_limit(headers)
         if forwarding.header(headers, self._names.not_run):
+            self._record_rate_limit(headers, sent_at, may_lift=False)
             return self._refusal_result()
         echoed = forwarding.header(headers, self._names.attempt_id)
         if echoed.decode('latin-1') != self._call.id:
             # The response belongs to another request.
             return outcome.AttemptResult.LOST
+        self._record_rate_limit(headers, sent_at, may_lift=True)
         return outcome.AttemptResult.ANSWERED
 
-    def _record_rate_limit(self, headers: forwarding.Headers) -> None:
+    def _record_rate_limit(
+        self,
+        headers: forwarding.Headers,
+        sent_at: datetime.datetime,
+        *,
+        may_lift: bool,
+    ) -> None:
+        """Record the rate limit that a response states.
+
+        Without one, the limit has ended if ``may_lift``.
+        """
         value = forwarding.header(headers, self._names.rate_limit)
+        if not value and not may_lift:
+            return
         try:
-            rate_limit = forwarding.parse_rate_limit(value) if value else None
+            rate = forwarding.parse_rate_limit(value) if value else None
         except ValueError as exc:
             events.emit(
                 events.Event.HEADER_INVALID,
@@ -172,7 +187,9 @@
                 error=str(exc)[:200],
             )
             return
-        self._core.directory.record_rate_limit(self._endpoint, rate_limit)
+        self._core.rate_limits.record_statement(
+            self._endpoint, rate, sent_at=sent_at, now=self._core.clock.now()
+        )
 
     def _refusal_result(self) -> outcome.AttemptResult:
         """Return the result of a refusal.
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -1,5 +1,6 @@
 """State that all requests of a gateway share."""
 
+from collections import abc
 import datetime
 import random
 
@@ -11,6 +12,7 @@
 from aspenfold._internal.gateway import outages
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index as plan_index_module
+from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.gateway import unknown_headers
 from aspenfold._internal.kernel import clock as clock_module
@@ -54,6 +56,11 @@
             header_names=header_names
         )
         self.directory = directory_module.Directory()
+        self.rate_limits = rate_limits.RateLimits(
+            host=cfg.name,
+            zone=cfg.availability_zone,
+            endpoint_directory=self.directory,
+        )
         self.metrics = metrics_module.Metrics()
         self.plan_index: plan_index_module.PlanIndex | None = None
         self.plan_applied_at: datetime.datetime | None = None
@@ -127,7 +134,7 @@
             return False
         now = self.clock.now()
         candidates = self._in_available_groups(
-            self.directory.routable(service, now)
+            self._routable_within_limits(service, now)
         )
         time_since_recovery = self.outages.time_since_recovery(candidates)
         return admission.should_refuse(
@@ -158,19 +165,43 @@
     ) -> directory_module.Endpoint | None:
         """Return the endpoint for an attempt, None if there is none.
 
-        Endpoints in ``avoid`` are chosen only if there are no others.
+        The attempt counts towards the endpoint's rate limit.  Endpoints in
+        ``avoid`` are chosen only if there are no others.
         """
         now = self.clock.now()
-        candidates = self.directory.routable(service, now, avoid)
+        candidates = self._routable_within_limits(service, now, avoid)
         if not candidates:
-            candidates = self.directory.routable(service, now)
+            candidates = self._routable_within_limits(service, now)
         if not candidates:
             return None
         policy = self._plain_routing
         if self.has_group(service):
             policy = self._group_routing
             candidates = self._in_available_groups(candidates)
-        return policy.choose(candidates, '', True)
+        chosen = policy.choose(candidates, '', True)
+        self.rate_limits.record_sent(chosen.name, now)
+        return chosen
+
+    def _routable_within_limits(
+        self,
+        service: str,
+        now: datetime.datetime,
+        avoid: abc.Container[str] = (),
+    ) -> list[directory_module.Endpoint]:
+        """Return the endpoints whose rate limits allow another request."""
+        return self.directory.routable(
+            service, now, avoid, self.rate_limits.may_send
+        )
+
+    def rate_limit_wait(self, service: str) -> datetime.timedelta | None:
+        """Return the time until a limited endpoint takes another request.
+
+        Return None if the service has no endpoints.
+        """
+        now = self.clock.now()
+        endpoints = self.directory.routable(service, now)
+        waits = [self.rate_limits.wait(e.name, now) for e in endpoints]
+        return min(waits, default=None)
 
     def _create_policy(self, name: str) -> routing_policy.RoutingPolicy:
         policy: routing_policy.RoutingPolicy = registry.create(
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -58,10 +58,8 @@
     reported by other gateways; ``load`` is what the endpoint reports, and
     ``in_flight_at_load`` the value of ``in_flight`` at that time.  It
     takes ``slowdown`` times as long for its work as normal.  ``group`` is
-    its group of ranks, empty while that is not known.  ``rate_limit`` is
-    the number of requests a second that it takes from all gateways
-    together, None if it states none.  Since ``missing_since`` it has no
-    entry in the list.
+    its group of ranks, empty while that is not known.  Since
+    ``missing_since`` it has no entry in the list.
     """
 
     listing: Listing
@@ -75,7 +73,6 @@
     peer_in_flight: int = 0
     slowdown: float = 1.0
     group: str = ''
-    rate_limit: float | None = None
 
     @property
     def name(self) -> str:
@@ -143,24 +140,6 @@
         for endpoint in self._endpoints.values():
             endpoint.slowdown = slowdowns.get(endpoint.name, 1.0)
 
-    def record_rate_limit(
-        self, endpoint: Endpoint, rate_limit: float | None
-    ) -> None:
-        """Store the limit that an endpoint stated; None if it has none."""
-        if rate_limit == endpoint.rate_limit:
-            return
-        events.emit(
-            events.Event.ENDPOINT_LIMITED,
-            endpoint=endpoint.name,
-            before=endpoint.rate_limit,
-            rate_limit=rate_limit,
-        )
-        endpoint.rate_limit = rate_limit
-
-    def count_limited(self) -> int:
-        """Return how many endpoints state a rate limit."""
-        return sum(e.rate_limit is not None for e in self._endpoints.values())
-
     def names(self) -> list[str]:
         """Return the names of all known endpoints."""
         return list(self._endpoints)
@@ -272,16 +251,20 @@
         service: str,
         now: datetime.datetime,
         avoid: abc.Container[str] = (),
+        may_send: abc.Callable[[str, datetime.datetime], bool] | None = None,
     ) -> list[Endpoint]:
         """Return the endpoints of a service that may get a request.
 
-        Endpoints that are leaving or in ``avoid`` are excluded.  Paused
-        ones are returned only if there are no others.
+        Endpoints that are leaving, in ``avoid`` or for whose name
+        ``may_send`` is false are excluded.  Paused ones are returned only
+        if there are no others.
         """
         usable = [
             e
             for e in self._by_service.get(service, ())
-            if not e.leaving and e.name not in avoid
+            if not e.leaving
+            and e.name not in avoid
+            and (may_send is None or may_send(e.name, now))
         ]
         unpaused = [
             e
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -255,15 +255,39 @@
         elif history.may_have_run:
             self._send_unknown_outcome(outcome.AttemptResult.LOST)
         else:
-            service = self._call.service
+            self._refuse_without_endpoint()
+
+    def _refuse_without_endpoint(self) -> None:
+        service = self._call.service
+        wait = self._core.rate_limit_wait(service)
+        if wait is None:
             self._refuse(
                 Code.NO_ENDPOINT, f'no endpoint of {service} is available'
             )
+            return
+        self._refuse(
+            Code.ENDPOINTS_AT_LIMIT,
+            f'every endpoint of {service} is at its rate limit',
+            wait,
+        )
+
+    def _refuse(
+        self,
+        code: Code,
+        detail: str,
+        delay: datetime.timedelta | None = None,
+    ) -> None:
+        """Respond that the request has not run.
 
-    def _refuse(self, code: Code, detail: str) -> None:
+        ``delay`` is when a retry can succeed, if that is known better than
+        by the code.
+        """
         failure = exceptions.Failure(code=code, detail=detail)
-        delay = refusal.retry_after(code, self._call.remaining)
-        self._send_error(failure, delay)
+        if delay is None:
+            delay = refusal.RETRY_AFTER.get(code)
+        self._send_error(
+            failure, refusal.retry_after(delay, self._call.remaining)
+        )
 
     def _send_unknown_outcome(self, result: outcome.AttemptResult) -> None:
         code = Code.ENDPOINT_LOST
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -17,6 +17,7 @@
 import orjson
 
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.kernel import clock as clock_module
 
@@ -63,6 +64,7 @@
     fencing token of a leader, else 0; a leader also sends the
     ``slowdowns`` of slow endpoints.  ``is_reader`` is whether it reads the
     store itself.  ``recovery_ages`` is how long ago groups recovered.
+    ``rate_reports`` are on endpoints with rate limits.
     """
 
     host: str
@@ -75,6 +77,7 @@
     zone: str
     is_reader: bool
     recovery_ages: dict[str, datetime.timedelta]
+    rate_reports: dict[str, rate_limits.Report]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,9 +110,10 @@
 
     Requests in flight of peers are added to the endpoints in
     ``endpoint_directory``.
-    The attributes ``plan_offset``, ``token``, ``slowdowns``, ``is_reader``
-    and ``recovery_ages`` are sent with the next update.  ``rejected``
-    counts datagrams that were malformed or not from a gateway.
+    The attributes ``plan_offset``, ``token``, ``slowdowns``, ``is_reader``,
+    ``recovery_ages`` and ``rate_reports`` are sent with the next update.
+    ``zones`` has the zones of peers that did not time out, by host.
+    ``rejected`` counts datagrams that were malformed or not from a gateway.
     """
 
     def __init__(
@@ -144,6 +148,8 @@
         self.slowdowns: dict[str, float] = {}
         self.is_reader = False
         self.recovery_ages: dict[str, datetime.timedelta] = {}
+        self.rate_reports: dict[str, rate_limits.Report] = {}
+        self.zones: dict[str, str] = {}
 
     def address(self, host: str) -> settings.TcpAddress | None:
         """Return the address of a peer, None if it is not known."""
@@ -185,6 +191,7 @@
         ):
             return None
         peer.counted_at = peer.last_update_at = now
+        self.zones[update.host] = update.zone
         self._add_in_flight(last, -1)
         self._add_in_flight(update, 1)
         peer.update = update
@@ -230,6 +237,9 @@
             # Other versions may send more fields or fewer.
             offset, token, slowdowns, zone, is_reader, *more = rest
             recovery_ages = more[0] if more else {}
+            rate_reports = more[1] if len(more) > 1 else {}
+            if not isinstance(rate_reports, dict):
+                rate_reports = {}
             if not self._is_authentic(str(host), sender):
                 return None
             return PeerUpdate(
@@ -250,6 +260,9 @@
                     str(k): max(0, int(v)) * clock_module.MILLISECOND
                     for k, v in recovery_ages.items()
                 },
+                rate_reports={
+                    str(k): _decode_report(*v) for k, v in rate_reports.items()
+                },
             )
         except (ValueError, TypeError, AttributeError):
             return None
@@ -278,11 +291,12 @@
 
     def expire_silent(self, now: datetime.datetime) -> None:
         """Ignore the requests in flight of peers that timed out."""
-        for peer in self._peers.values():
+        for host, peer in self._peers.items():
             updated_at = peer.counted_at
             if updated_at is None or now - updated_at <= PEER_TIMEOUT:
                 continue
             peer.counted_at = None
+            self.zones.pop(host, None)
             self._add_in_flight(peer.update, -1)
             if peer.update is not None:
                 peer.update.in_flight_counts = {}
@@ -327,20 +341,31 @@
             self._sequence,
             in_flight_counts,
         )
-        data = orjson.dumps([*head, *update[:-1], ages])
+        reports = {k: _encode_report(v) for k, v in self.rate_reports.items()}
+        data = orjson.dumps([*head, *self._plain_fields(), ages, reports])
         if len(data) > MAX_DATAGRAM_BYTES:
             return None
         return OutgoingUpdate(data=data, addresses=due)
 
     def _update_fields(self) -> tuple[object, ...]:
-        """Return the fields whose changes go to all peers equally soon."""
+        """Return the fields whose changes go to all peers equally soon.
+
+        Ages are left out, since they change all the time.
+        """
+        return (
+            *self._plain_fields(),
+            sorted(self.recovery_ages),
+            [(k, v.rate, v.sent) for k, v in self.rate_reports.items()],
+        )
+
+    def _plain_fields(self) -> tuple[object, ...]:
+        """Return the fields of an update that are no ages or counts."""
         return (
             self.plan_offset,
             self.token,
             self.slowdowns if self.token else {},
             self._zone,
             self.is_reader,
-            sorted(self.recovery_ages),
         )
 
     def _local_and_remote_addresses(
@@ -373,3 +398,28 @@
         if sent.update != current.update:
             interval = min(interval, update_interval)
         return current.at - sent.at >= interval
+
+
+def _encode_report(report: rate_limits.Report) -> list[float | int | None]:
+    """Return a report as its rate, age in milliseconds and count."""
+    age = report.age
+    age_ms = None if age is None else age // clock_module.MILLISECOND
+    return [report.rate, age_ms, report.sent]
+
+
+def _decode_report(
+    rate: float | None, age_ms: int | None, sent: int, *_: object
+) -> rate_limits.Report:
+    """Return the report that :func:`_encode_report` encoded.
+
+    Other versions may send more.  Raises a ValueError or TypeError if a
+    value is invalid.
+    """
+    age = None
+    if age_ms is not None:
+        age = max(0, int(age_ms)) * clock_module.MILLISECOND
+    return rate_limits.Report(
+        rate=None if rate is None else max(0.0, float(rate)),
+        age=age,
+        sent=max(0, int(sent)),
+    )
--- a/src/aspenfold/_internal/gateway/refusal.py
+++ b/src/aspenfold/_internal/gateway/refusal.py
@@ -13,6 +13,7 @@
     Code.NO_ENDPOINT: 503,
     Code.OVERLOADED: 503,
     Code.NO_PLACE: 503,
+    Code.ENDPOINTS_AT_LIMIT: 503,
     Code.DRAINING: 503,
     Code.GROUP_DOWN: 503,
     Code.ENDPOINT_LOST: 502,
@@ -43,14 +44,13 @@
 
 
 def retry_after(
-    code: Code, remaining: datetime.timedelta
+    delay: datetime.timedelta | None, remaining: datetime.timedelta
 ) -> datetime.timedelta | None:
-    """Return the Retry-After delay, None if the code has none.
+    """Return the Retry-After delay for a retry that can succeed later.
 
     ``remaining`` is the time to the request's deadline.  The delay is at
     most a third of it, because callers wait no longer than that.
     """
-    delay = RETRY_AFTER.get(code)
     if delay is None:
         return None
     return max(datetime.timedelta(0), min(delay, remaining / 3))
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -217,6 +217,9 @@
                 self._core.outages.record_peer_recovery(
                     group, age, update.host
                 )
+            self._core.rate_limits.receive(
+                update.host, update.incarnation, update.rate_reports, now
+            )
 
         peer_socket = await datagrams.listen(
             self._cfg.address, self._cfg.peer_port, receive
@@ -225,9 +228,12 @@
             await asyncio.sleep(PEER_UPDATE_CHECK_INTERVAL_S)
             now = self._clock.now()
             self._peers.expire_silent(now)
+            self._core.rate_limits.set_gateways(self._peers.zones, now)
+            self._core.rate_limits.forget_removed()
             self._peers.plan_offset = self._feeds.plan.offset
             self._peers.is_reader = self._selection.is_reader(now)
             self._peers.recovery_ages = self._core.outages.recent_recoveries()
+            self._peers.rate_reports = self._core.rate_limits.reports(now)
             outgoing = self._peers.next_update(now)
             if outgoing is None:
                 continue
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -211,8 +211,8 @@
 
 def test_retry_after_is_at_most_a_third_of_the_remaining_time() -> None:
     """Callers ignore a longer delay."""
-    for code in refusal.RETRY_AFTER:
-        wait = refusal.retry_after(code, 3 * SECOND)
+    for delay in refusal.RETRY_AFTER.values():
+        wait = refusal.retry_after(delay, 3 * SECOND)
         assert wait is not None
         assert datetime.timedelta(0) < wait <= SECOND
 
