Send updates to peers that are too large for a datagram in part

Now the endpoints with the fewest requests in flight are left out, which only makes a choice a little worse, and PEER_UPDATE_CUT (509) says how many. The datagram has a module of its own. Its new test found another fault: an age of 1e300 in an update raised an OverflowError in the receiver; such updates are rejected now like other malformed ones.

--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -14,12 +14,11 @@
 import dataclasses
 import datetime
 
-import orjson
-
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import peer_update
 from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.gateway import settings
-from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.observability import events
 
 PEER_TIMEOUT = datetime.timedelta(seconds=2)
 """The requests in flight of a peer without an update for this long are
@@ -51,34 +50,6 @@
 """Added for each peer of another zone if only requests in flight changed, to
 bound these datagrams to 20 a second: traffic between zones costs money."""
 
-MAX_DATAGRAM_BYTES = 1400
-"""Below the packet size of common networks; larger updates are not sent."""
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PeerUpdate:
-    """The state that one gateway sends to its peers.
-
-    ``in_flight_counts`` are its requests in flight by endpoint.
-    ``plan_offset`` is the offset of its newest plan.  ``token`` is the
-    fencing token of a leader, else 0; a leader also sends the
-    ``slowdowns`` of slow endpoints.  ``is_reader`` is whether it reads the
-    store itself.  ``recovery_ages`` is how long ago groups recovered.
-    ``rate_reports`` are on endpoints with rate limits.
-    """
-
-    host: str
-    incarnation: str
-    sequence: int
-    in_flight_counts: dict[str, int]
-    plan_offset: int
-    token: int
-    slowdowns: dict[str, float]
-    zone: str
-    is_reader: bool
-    recovery_ages: dict[str, datetime.timedelta]
-    rate_reports: dict[str, rate_limits.Report]
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class OutgoingUpdate:
@@ -99,7 +70,7 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Peer:
-    update: PeerUpdate | None = None
+    update: peer_update.PeerUpdate | None = None
     # None once its requests in flight no longer count.
     counted_at: datetime.datetime | None = None
     last_update_at: datetime.datetime | None = None
@@ -138,6 +109,7 @@
         self._incarnation = incarnation
         self._directory = endpoint_directory
         self._sequence = 0
+        self._omitted = 0
         self._peers: dict[str, _Peer] = {}
         self._addresses: dict[str, settings.TcpAddress] = {}
         self._local_sent = _Sent()
@@ -170,7 +142,7 @@
 
     def receive(
         self, data: bytes, sender: str, now: datetime.datetime
-    ) -> PeerUpdate | None:
+    ) -> peer_update.PeerUpdate | None:
         """Apply a datagram from the IP address ``sender``.
 
         Return its update, None if it is invalid, old or a duplicate.
@@ -229,43 +201,15 @@
             if peer.last_update_at is not None:
                 yield peer.last_update_at
 
-    def _parse(self, data: bytes, sender: str) -> PeerUpdate | None:
+    def _parse(
+        self, data: bytes, sender: str
+    ) -> peer_update.PeerUpdate | None:
+        """Return an update from ``sender``, None if it is not valid."""
         try:
-            host, incarnation, sequence, in_flight_counts, *rest = (
-                orjson.loads(data)
-            )
-            # Other versions may send more fields or fewer.
-            offset, token, slowdowns, zone, is_reader, *more = rest
-            recovery_ages = more[0] if more else {}
-            rate_reports = more[1] if len(more) > 1 else {}
-            if not isinstance(rate_reports, dict):
-                rate_reports = {}
-            if not self._is_authentic(str(host), sender):
-                return None
-            return PeerUpdate(
-                host=str(host),
-                incarnation=str(incarnation),
-                sequence=int(sequence),
-                in_flight_counts={
-                    str(k): max(0, int(v)) for k, v in in_flight_counts.items()
-                },
-                plan_offset=int(offset),
-                token=int(token),
-                slowdowns={
-                    str(k): max(1.0, float(v)) for k, v in slowdowns.items()
-                },
-                zone=str(zone),
-                is_reader=bool(is_reader),
-                recovery_ages={
-                    str(k): max(0, int(v)) * clock_module.MILLISECOND
-                    for k, v in recovery_ages.items()
-                },
-                rate_reports={
-                    str(k): _decode_report(*v) for k, v in rate_reports.items()
-                },
-            )
-        except (ValueError, TypeError, AttributeError):
+            update = peer_update.decode(data)
+        except peer_update.InvalidUpdate:
             return None
+        return update if self._is_authentic(update.host, sender) else None
 
     def _is_authentic(self, host: str, sender: str) -> bool:
         """Return whether ``sender`` is the address of ``host``."""
@@ -278,7 +222,9 @@
         address = self._addresses.get(host)
         return address is not None and address.host == sender
 
-    def _add_in_flight(self, update: PeerUpdate | None, sign: int) -> None:
+    def _add_in_flight(
+        self, update: peer_update.PeerUpdate | None, sign: int
+    ) -> None:
         if update is None:
             return
         for name, count in update.in_flight_counts.items():
@@ -330,42 +276,52 @@
             self._remote_sent = current
         if not due:
             return None
-        self._sequence += 1
-        ages = {
-            k: v // clock_module.MILLISECOND
-            for k, v in self.recovery_ages.items()
-        }
-        head = (
-            self._host,
-            self._incarnation,
-            self._sequence,
-            in_flight_counts,
-        )
-        reports = {k: _encode_report(v) for k, v in self.rate_reports.items()}
-        data = orjson.dumps([*head, *self._plain_fields(), ages, reports])
-        if len(data) > MAX_DATAGRAM_BYTES:
+        data = self._encode_update(in_flight_counts)
+        if data is None:
             return None
         return OutgoingUpdate(data=data, addresses=due)
 
+    def _encode_update(self, in_flight_counts: dict[str, int]) -> bytes | None:
+        """Return the next update, None if it is too large to send."""
+        self._sequence += 1
+        encoded = peer_update.encode(
+            peer_update.PeerUpdate(
+                host=self._host,
+                incarnation=self._incarnation,
+                sequence=self._sequence,
+                in_flight_counts=in_flight_counts,
+                plan_offset=self.plan_offset,
+                token=self.token,
+                slowdowns=self.slowdowns if self.token else {},
+                zone=self._zone,
+                is_reader=self.is_reader,
+                recovery_ages=self.recovery_ages,
+                rate_reports=self.rate_reports,
+            )
+        )
+        if encoded.omitted != self._omitted:
+            self._omitted = encoded.omitted
+            events.emit(
+                events.Event.PEER_UPDATE_CUT,
+                omitted=encoded.omitted,
+                endpoints=len(in_flight_counts),
+                sent=encoded.data is not None,
+            )
+        return encoded.data
+
     def _update_fields(self) -> tuple[object, ...]:
         """Return the fields whose changes go to all peers equally soon.
 
         Ages are left out, since they change all the time.
         """
-        return (
-            *self._plain_fields(),
-            sorted(self.recovery_ages),
-            [(k, v.rate, v.sent) for k, v in self.rate_reports.items()],
-        )
-
-    def _plain_fields(self) -> tuple[object, ...]:
-        """Return the fields of an update that are no ages or counts."""
         return (
             self.plan_offset,
             self.token,
             self.slowdowns if self.token else {},
             self._zone,
             self.is_reader,
+            sorted(self.recovery_ages),
+            [(k, v.rate, v.sent) for k, v in self.rate_reports.items()],
         )
 
     def _local_and_remote_addresses(
@@ -398,28 +354,3 @@
         if sent.update != current.update:
             interval = min(interval, update_interval)
         return current.at - sent.at >= interval
-
-
-def _encode_report(report: rate_limits.Report) -> list[float | int | None]:
-    """Return a report as its rate, age in milliseconds and count."""
-    age = report.age
-    age_ms = None if age is None else age // clock_module.MILLISECOND
-    return [report.rate, age_ms, report.sent]
-
-
-def _decode_report(
-    rate: float | None, age_ms: int | None, sent: int, *_: object
-) -> rate_limits.Report:
-    """Return the report that :func:`_encode_report` encoded.
-
-    Other versions may send more.  Raises a ValueError or TypeError if a
-    value is invalid.
-    """
-    age = None
-    if age_ms is not None:
-        age = max(0, int(age_ms)) * clock_module.MILLISECOND
-    return rate_limits.Report(
-        rate=None if rate is None else max(0.0, float(rate)),
-        age=age,
-        sent=max(0, int(sent)),
-    )
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -48,6 +48,7 @@
     ENDPOINT_LIMITED = 506
     HEADER_UNKNOWN = 507
     HEADER_INVALID = 508
+    PEER_UPDATE_CUT = 509
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -102,6 +103,7 @@
     'limit',
     Event.HEADER_UNKNOWN: 'an endpoint sent a header that is not known here',
     Event.HEADER_INVALID: 'an endpoint sent a header with an invalid value',
+    Event.PEER_UPDATE_CUT: 'an update to peers was too large for a datagram',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
