Deliver an endpoint's failure if no endpoint is left for the retry

A safe request that got a 500 and had a retry left ended as 502 "lost" if no endpoint could take the retry: its endpoint was removed meanwhile or, since the last commits, is at its rate limit. The caller has the endpoint's own complete response now, as it has where the retry budget is empty. test_a_failure_is_delivered_if_the_limit_forbids_a_retry got 502 before.

--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -252,6 +252,8 @@
     def _end_without_endpoint(self, history: outcome.History) -> None:
         if history.head_delivered:
             self._abort_stream(outcome.AttemptResult.NOT_SENT)
+        elif self._call.buffered_response is not None:
+            self._deliver(history)
         elif history.may_have_run:
             self._send_unknown_outcome(outcome.AttemptResult.LOST)
         else:
--- a/tests/functional/test_gateway_rate_limits.py
+++ b/tests/functional/test_gateway_rate_limits.py
@@ -75,3 +75,58 @@
             assert 1 <= busiest <= max_requests(limited.rate_limit)
 
     asyncio.run(run())
+
+
+def test_a_service_at_its_limit_refuses_at_once() -> None:
+    """The caller learns when the endpoint takes another request."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            limited = await rig.add_worker('w-1')
+            limited.rate_limit = 0.5
+            await rig.wait_until_ready()
+            assert (await rig.request('/safe/')).status == 200
+            response = await rig.request('/unsafe/')
+            assert response.status == 503
+            assert response.body.startswith(b'[1104]')
+            # The next is taken after 2 s; callers wait 5 s / 3 at most.
+            assert 1.0 < float(response.headers['retry-after']) < 1.7
+            assert rigs.count_requests(limited, '/unsafe/') == 0
+
+    asyncio.run(run())
+
+
+def test_a_failure_is_delivered_if_the_limit_forbids_a_retry() -> None:
+    """The endpoint's own response says more than that its fate is unknown."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            limited = await rig.add_worker('w-1', workers.server_error)
+            limited.rate_limit = 0.0
+            await rig.wait_until_ready()
+            response = await rig.request('/safe/')
+            assert response.status == 500
+            assert response.body == b'failed'
+            assert rigs.count_requests(limited, '/safe/') == 1
+
+    asyncio.run(run())
+
+
+def test_an_endpoint_that_lifts_its_limit_is_used_again() -> None:
+    """Other gateways learn it from the one that got the response."""
+
+    async def run() -> None:
+        async with gateway_set.running_gateways(GATEWAYS) as gateways:
+            limited = gateways.rig.workers[0]
+            limited.rate_limit = 2.0
+            await call_until_served_by(gateways, 1, 'w-1')
+            refused = await gateways.request(1, '/safe/')
+            assert refused.status == 503
+            limited.rate_limit = None
+            for number in (1, 2, 3):
+                await call_until_served_by(gateways, number, 'w-1')
+                for _ in range(5):
+                    response = await gateways.request(number, '/safe/')
+                    assert response.status == 200
+
+    asyncio.run(run())
