Share the fixed retry budget among all gateways that are alive

Each took a fortieth of the fixed part of the retry budget; 60 gateways could spend 120 retries where 90 are allowed (test_saved_retries_of_all_entries_are_within_the_fixed_part, failed for 60 and 90 before). Gateways know each other from peer updates; where there are over 40, the part is that of their number.

--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -67,10 +67,18 @@
         self.draining = False
         self.refusing = False
         self._budgets: dict[str, shared_budget.SharedBudget] = {}
+        self._gateway_count = 1
         self.outages = outages.Outages(clock=clock)
         self._plain_routing = self._create_policy(PLAIN_ROUTING_POLICY)
         self._group_routing = self._create_policy(GROUP_ROUTING_POLICY)
 
+    def set_peers(self, zones: abc.Mapping[str, str]) -> None:
+        """Set the zones of the other gateways that are alive, by host."""
+        self.rate_limits.set_gateways(zones, self.clock.now())
+        self._gateway_count = len(zones) + 1
+        for budget in self._budgets.values():
+            budget.gateways = self._gateway_count
+
     @property
     def limits(self) -> plan_module.Limits:
         """The limits on callers' requests."""
@@ -227,7 +235,9 @@
         known = self._budgets.get(service)
         if known is None:
             known = shared_budget.SharedBudget(
-                ratio=self.cfg.retry_ratio, slack=self.cfg.retry_slack
+                ratio=self.cfg.retry_ratio,
+                slack=self.cfg.retry_slack,
+                gateways=self._gateway_count,
             )
             self._budgets[service] = known
         return known
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -228,7 +228,7 @@
             await asyncio.sleep(PEER_UPDATE_CHECK_INTERVAL_S)
             now = self._clock.now()
             self._peers.expire_silent(now)
-            self._core.rate_limits.set_gateways(self._peers.zones, now)
+            self._core.set_peers(self._peers.zones)
             self._core.rate_limits.forget_removed()
             self._peers.plan_offset = self._feeds.plan.offset
             self._peers.is_reader = self._selection.is_reader(now)
--- a/src/aspenfold/_internal/retries/shared_budget.py
+++ b/src/aspenfold/_internal/retries/shared_budget.py
@@ -7,9 +7,9 @@
 
 import dataclasses
 
-ASSUMED_GATEWAYS = 40
-"""Upper bound of the number of gateways.  Each one gets an equal part of the
-limit's fixed part."""
+MIN_GATEWAYS = 40
+"""Each gateway gets an equal part of the limit's fixed part, as one of at
+least this many: some may not be known yet."""
 
 USED_RATIO_FRACTION = 0.8
 """Fraction of the allowed ratio that is used.  The rest covers tokens that
@@ -29,17 +29,19 @@
 
     ``ratio`` and ``slack`` are the platform's limit: in any window there
     may be ratio x requests + slack attempts after the first, over all
-    gateways.
+    gateways.  ``gateways`` is how many there are, as far as is known.
     """
 
     ratio: float
     slack: float
+    gateways: int = 1
     _tokens: float = INITIAL_TOKENS
 
     @property
     def capacity(self) -> float:
         """Capacity of the bucket, in tokens."""
-        return max(MIN_CAPACITY, self.slack / ASSUMED_GATEWAYS)
+        sharers = max(MIN_GATEWAYS, self.gateways)
+        return max(MIN_CAPACITY, self.slack / sharers)
 
     @property
     def available(self) -> float:
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -186,7 +186,7 @@
 
 @hypothesis.given(
     st.lists(st.sampled_from(['request', 'retry']), max_size=400),
-    st.integers(1, 40),
+    st.integers(1, 90),
 )
 def test_retries_of_all_entries_stay_within_the_shared_budget(
     steps: list[str], entries: int
@@ -194,7 +194,7 @@
     """The limit holds after every step, for any number of entries."""
     slack = 90.0
     budgets = [
-        shared_budget.SharedBudget(ratio=0.2, slack=slack)
+        shared_budget.SharedBudget(ratio=0.2, slack=slack, gateways=entries)
         for _ in range(entries)
     ]
     requests = 0
@@ -209,6 +209,24 @@
         assert retries <= 0.2 * requests + slack
 
 
+@pytest.mark.parametrize('entries', [1, 8, 40, 43, 60, 90])
+def test_saved_retries_of_all_entries_are_within_the_fixed_part(
+    entries: int,
+) -> None:
+    """They may all be made in a window that has no requests."""
+    slack = 90.0
+    retries = 0
+    for _ in range(entries):
+        budget = shared_budget.SharedBudget(
+            ratio=0.2, slack=slack, gateways=entries
+        )
+        for _ in range(100):
+            budget.record_request()
+        while budget.take():
+            retries += 1
+    assert retries <= slack
+
+
 def test_retry_after_is_at_most_a_third_of_the_remaining_time() -> None:
     """Callers ignore a longer delay."""
     for delay in refusal.RETRY_AFTER.values():
