--- a/bench/main.py
+++ b/bench/main.py
@@ -10,11 +10,12 @@
 from bench import gateway
 from bench import load
 from bench import maps
+from bench import rate_limits
 from bench import recovery
 from bench import report
 from bench import scale
 
-MODULES = (load, maps, scale, recovery, gateway, entry_edge)
+MODULES = (load, maps, scale, recovery, gateway, rate_limits, entry_edge)
 """Importing these modules registers their benchmarks."""
 
 
--- a/src/aspenfold/_internal/gateway/rate_limits.py
+++ b/src/aspenfold/_internal/gateway/rate_limits.py
@@ -29,7 +29,7 @@
 """Gateways that may use an endpoint whatever its limit, so that one of them
 has a request for it."""
 
-BURST = 1.0
+BURST = 2.0
 """Requests that an idle endpoint may get at once."""
 
 MAX_SHARE_FACTOR = 3.0
