--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -13,6 +13,7 @@
 from tests.lib import free_ports
 from tests.soak import guarantees
 from tests.soak import main
+from tests.soak import rate_limits
 from tests.soak import soak_history
 from tests.soak import system_under_test
 
@@ -206,3 +207,33 @@
         system_under_test.rank_group.simulated_ranks.MixedMapsError('two')
     )
     assert 'mixed maps' in scenario.find_violations()
+
+
+@pytest.mark.parametrize(
+    ('told', 'fault', 'is_found'),
+    [(True, '', True), (False, '', False), (True, 'g', False)],
+)
+def test_checker_reports_a_rate_limit_that_was_not_kept(
+    tmp_path: pathlib.Path, told: bool, fault: str, is_found: bool
+) -> None:
+    """Gateways that were not told, or had a fault, are not counted."""
+    scenario = CheckerScenario(tmp_path)
+    since = time.monotonic()
+    request = scenario.add_request('/safe/', 200)
+    assert request.response is not None
+    if told:
+        request.response.headers.update(
+            {
+                rate_limits.platform_worker.RATE_LIMIT_HEADER.lower(): '1',
+                guarantees.platform_worker.SEAL_HEADER.lower(): 'seal-w',
+            }
+        )
+    for number in range(12):
+        scenario.receive_request('soak-1', since + 4 + number / 10)
+    if fault:
+        scenario.history.start_fault(fault)
+    period = rate_limits.LimitPeriod(
+        endpoint=scenario.worker, rate=1.0, since=since, until=since + 10
+    )
+    violations = rate_limits.find_violations([period], scenario.history)
+    assert bool(violations) is is_found
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -13,6 +13,7 @@
 from tests.soak import callers
 from tests.soak import faults
 from tests.soak import guarantees
+from tests.soak import rate_limits
 from tests.soak import soak_history
 from tests.soak import system_under_test
 
@@ -65,6 +66,9 @@
         agent_rng=random.Random(f'{seed} agents'),
         interval_s=fault_interval_s,
     )
+    limits = rate_limits.RateLimitInjector(
+        system=system, rng=random.Random(f'{seed} rate limits')
+    )
     probers = [
         callers.PlanProber(system=system, gateway=gateway, history=history)
         for gateway in system.gateways
@@ -86,7 +90,8 @@
             for caller_seed in caller_seeds
         ]
         tasks = [
-            asyncio.ensure_future(x.run()) for x in [*all_callers, *probers]
+            asyncio.ensure_future(x.run())
+            for x in [*all_callers, *probers, limits]
         ]
         await injector.run(duration_s)
         unready = await _wait_until_ready(system, probers)
@@ -102,6 +107,7 @@
         if isinstance(task_result, Exception):
             raise task_result
     violations = checker.check()
+    violations += rate_limits.find_violations(limits.periods, history)
     requests = history.requests.values()
     return SoakResult(
         seed=seed,
