--- a/src/aspenfold/_internal/gateway/rate_limits.py
+++ b/src/aspenfold/_internal/gateway/rate_limits.py
@@ -21,7 +21,7 @@
 import datetime
 
 from aspenfold._internal.gateway import directory
-from aspenfold._internal.kernel import token_bucket
+from aspenfold._internal.gateway import endpoint_rate_limit
 from aspenfold._internal.observability import events
 from aspenfold._internal.routing import subset
 
@@ -29,20 +29,6 @@
 """Gateways that may use an endpoint whatever its limit, so that one of them
 has a request for it."""
 
-BURST = 2.0
-"""Requests that an idle endpoint may get at once."""
-
-MAX_SHARE_FACTOR = 3.0
-"""How much more than its equal part of a limit one gateway may use, since
-callers are distributed unevenly."""
-
-MAX_DEBT_DURATION_S = 4.0
-"""Requests over the limit delay later ones by at most this, in seconds."""
-
-MIN_RATE = 0.2
-"""Requests a second that are sent to an endpoint with a lower limit, so that
-the gateways learn when it ends."""
-
 LIFTED_REPORT_DURATION = datetime.timedelta(seconds=5)
 """How long peers are told that an endpoint has no limit any more."""
 
@@ -64,103 +50,6 @@
     sent: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Statement:
-    """A limit that an endpoint stated, and when."""
-
-    rate: float | None
-    at: datetime.datetime
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _PeerCount:
-    """What a peer's process has sent to an endpoint so far."""
-
-    incarnation: str
-    sent: int
-
-
-class RateLimit:
-    """The rate limit of one endpoint, as this gateway knows it.
-
-    ``rate`` is None while the endpoint states no limit.  ``senders`` is the
-    number of gateways that may use the endpoint, 0 if this one may not.
-    ``sent`` counts this gateway's requests, ``own`` is what the endpoint
-    last stated to it and ``newest`` what it last stated to any gateway.
-    """
-
-    def __init__(self, *, zone: str, now: datetime.datetime) -> None:
-        """``zone`` is the endpoint's availability zone."""
-        self.zone = zone
-        self.senders = 0
-        self.sent = 0
-        self.changed_at = now
-        self.own: Statement | None = None
-        self.newest: Statement | None = None
-        self._peer_counts: dict[str, _PeerCount] = {}
-        self._total = token_bucket.TokenBucket(
-            rate=0.0, burst=BURST, now=now, tokens=0.0
-        )
-        self._own_part = token_bucket.TokenBucket(
-            rate=0.0, burst=BURST, now=now, tokens=0.0
-        )
-
-    @property
-    def rate(self) -> float | None:
-        """The limit in requests a second."""
-        return None if self.newest is None else self.newest.rate
-
-    def set_senders(self, senders: int, now: datetime.datetime) -> None:
-        """Set ``senders``, also after a new statement."""
-        self.senders = senders
-        if self.rate is None:
-            return
-        rate = max(self.rate, MIN_RATE)
-        part = min(1.0, MAX_SHARE_FACTOR / senders) if senders else 0.0
-        self._total.set_rate(rate, BURST, now)
-        self._own_part.set_rate(rate * part, BURST, now)
-
-    def may_send(self, now: datetime.datetime) -> bool:
-        """Return whether this gateway may use the endpoint."""
-        if self.rate is None:
-            return True
-        if not self.senders:
-            return False
-        return not self._total.wait(now) and not self._own_part.wait(now)
-
-    def wait(self, now: datetime.datetime) -> datetime.timedelta:
-        """Return the time until the endpoint takes another request."""
-        if self.rate is None:
-            return datetime.timedelta(0)
-        return self._total.wait(now)
-
-    def record_sent(self, now: datetime.datetime) -> None:
-        """Count a request of this gateway."""
-        if self.rate is None:
-            return
-        self.sent += 1
-        self.changed_at = now
-        self._own_part.take(now)
-        self._debit(1, now)
-
-    def record_peer_count(
-        self, peer: str, count: _PeerCount, now: datetime.datetime
-    ) -> None:
-        """Count the requests that a peer sent since its last report."""
-        known = self._peer_counts.get(peer)
-        self._peer_counts[peer] = count
-        before = 0
-        if known is not None and known.incarnation == count.incarnation:
-            before = known.sent
-        self._debit(max(0, count.sent - before), now)
-
-    def _debit(self, count: int, now: datetime.datetime) -> None:
-        if self.rate is None:
-            return
-        max_debt = max(BURST, self.rate * MAX_DEBT_DURATION_S)
-        self._total.debit(count, now, max_debt=max_debt)
-
-
 class RateLimits:
     """Decides which limited endpoints this gateway may use, and when."""
 
@@ -176,7 +65,7 @@
         self._zone = zone
         self._directory = endpoint_directory
         self._gateway_zones = {host: zone}
-        self._limits: dict[str, RateLimit] = {}
+        self._limits: dict[str, endpoint_rate_limit.EndpointRateLimit] = {}
 
     def rate(self, endpoint: str) -> float | None:
         """Return the limit in requests a second, None if there is none."""
@@ -229,7 +118,7 @@
         if rate is None and known.newest and sent_at <= known.newest.at:
             # The endpoint may have responded before it stated the limit.
             return
-        known.own = Statement(rate=rate, at=now)
+        known.own = endpoint_rate_limit.Statement(rate=rate, at=now)
         self._apply(endpoint.name, known, known.own, now, source=self._host)
 
     def receive(
@@ -246,10 +135,14 @@
                 continue
             known = self._limits.get(name) or self._add(endpoint, now)
             if report.age is not None:
-                statement = Statement(rate=report.rate, at=now - report.age)
+                statement = endpoint_rate_limit.Statement(
+                    rate=report.rate, at=now - report.age
+                )
                 if known.newest is None or statement.at > known.newest.at:
                     self._apply(name, known, statement, now, source=peer)
-            count = _PeerCount(incarnation=incarnation, sent=report.sent)
+            count = endpoint_rate_limit.PeerCount(
+                incarnation=incarnation, sent=report.sent
+            )
             known.record_peer_count(peer, count, now)
 
     def set_gateways(
@@ -283,7 +176,11 @@
             for name in sorted(names[-MAX_REPORTS:])
         }
 
-    def _report(self, known: RateLimit, now: datetime.datetime) -> Report:
+    def _report(
+        self,
+        known: endpoint_rate_limit.EndpointRateLimit,
+        now: datetime.datetime,
+    ) -> Report:
         if known.own is None:
             return Report(rate=None, age=None, sent=known.sent)
         age = now - known.own.at
@@ -291,16 +188,18 @@
 
     def _add(
         self, endpoint: directory.Endpoint, now: datetime.datetime
-    ) -> RateLimit:
-        known = RateLimit(zone=endpoint.zone, now=now)
+    ) -> endpoint_rate_limit.EndpointRateLimit:
+        known = endpoint_rate_limit.EndpointRateLimit(
+            zone=endpoint.zone, now=now
+        )
         self._limits[endpoint.name] = known
         return known
 
     def _apply(
         self,
         name: str,
-        known: RateLimit,
-        statement: Statement,
+        known: endpoint_rate_limit.EndpointRateLimit,
+        statement: endpoint_rate_limit.Statement,
         now: datetime.datetime,
         *,
         source: str,
@@ -321,7 +220,9 @@
             told_by=source,
         )
 
-    def _count_senders(self, name: str, known: RateLimit) -> int:
+    def _count_senders(
+        self, name: str, known: endpoint_rate_limit.EndpointRateLimit
+    ) -> int:
         """Return how many gateways use an endpoint, 0 without this one."""
         if known.rate is None:
             return 0
--- a/tests/unit/test_rate_limits.py
+++ b/tests/unit/test_rate_limits.py
@@ -13,6 +13,23 @@
 SECOND = simulated.SECOND
 
 
+def one_gateway() -> tuple[directory.Directory, rate_limits.RateLimits]:
+    """Return the directory and the rate limits of a gateway."""
+    known = directory.Directory()
+    limits = rate_limits.RateLimits(
+        host='g-0', zone='zone-0', endpoint_directory=known
+    )
+    return known, limits
+
+
+def add_endpoint(known: directory.Directory, name: str) -> directory.Endpoint:
+    """Add an endpoint to a directory."""
+    known.update_listing(simulated.listing_of(name))
+    endpoint = known.get(name)
+    assert endpoint is not None
+    return endpoint
+
+
 @hypothesis.given(
     seed=st.integers(0, 10**6),
     gateways=st.sampled_from([1, 2, 3, 8, 12, 30]),
@@ -78,13 +95,8 @@
 
 def test_an_older_response_does_not_lift_a_limit() -> None:
     """A request sent before the statement may be answered after it."""
-    known = directory.Directory()
-    known.update_listing(simulated.listing_of(ENDPOINT))
-    endpoint = known.get(ENDPOINT)
-    assert endpoint is not None
-    limits = rate_limits.RateLimits(
-        host='g-0', zone='zone-0', endpoint_directory=known
-    )
+    known, limits = one_gateway()
+    endpoint = add_endpoint(known, ENDPOINT)
     start = clock.EPOCH
     limits.record_statement(
         endpoint, 2.0, sent_at=start, now=start + 2 * SECOND
@@ -101,13 +113,8 @@
 
 def test_limits_of_removed_endpoints_are_forgotten() -> None:
     """Names of endpoints are never used again."""
-    known = directory.Directory()
-    known.update_listing(simulated.listing_of(ENDPOINT))
-    endpoint = known.get(ENDPOINT)
-    assert endpoint is not None
-    limits = rate_limits.RateLimits(
-        host='g-0', zone='zone-0', endpoint_directory=known
-    )
+    known, limits = one_gateway()
+    endpoint = add_endpoint(known, ENDPOINT)
     limits.record_statement(
         endpoint, 2.0, sent_at=clock.EPOCH, now=clock.EPOCH
     )
@@ -122,15 +129,10 @@
 
 def test_reports_are_bounded_and_have_the_latest_changes() -> None:
     """A peer update must fit into a datagram."""
-    known = directory.Directory()
-    limits = rate_limits.RateLimits(
-        host='g-0', zone='zone-0', endpoint_directory=known
-    )
+    known, limits = one_gateway()
     now = clock.EPOCH
     for number in range(100):
-        known.update_listing(simulated.listing_of(f'w-{number:02}'))
-        endpoint = known.get(f'w-{number:02}')
-        assert endpoint is not None
+        endpoint = add_endpoint(known, f'w-{number:02}')
         now += SECOND
         limits.record_statement(endpoint, 1.0, sent_at=now, now=now)
     names = list(limits.reports(now))
