Send one request at once to endpoints with the lowest limits

Looking for loads that the simulation had not played: after a quiet time three senders have two requests saved each, so that a surge sends an endpoint with a limit of 0 six at once, where 5 are allowed in 4 s.

The guards of the design have tests that fail without them.

--- a/src/aspenfold/_internal/gateway/endpoint_rate_limit.py
+++ b/src/aspenfold/_internal/gateway/endpoint_rate_limit.py
@@ -6,7 +6,10 @@
 from aspenfold._internal.kernel import token_bucket
 
 BURST = 2.0
-"""Requests that an idle endpoint may get at once."""
+"""Requests that one gateway may send to an idle endpoint at once."""
+
+MIN_RATE_BURST = 1.0
+"""The same for an endpoint with a limit below MIN_RATE."""
 
 MAX_SHARE_FACTOR = 3.0
 """How much more than its equal part of a limit one gateway may use, since
@@ -72,9 +75,10 @@
         if self.rate is None:
             return
         rate = max(self.rate, MIN_RATE)
+        burst = BURST if self.rate >= MIN_RATE else MIN_RATE_BURST
         part = min(1.0, MAX_SHARE_FACTOR / senders) if senders else 0.0
-        self._total.set_rate(rate, BURST, now)
-        self._own_part.set_rate(rate * part, BURST, now)
+        self._total.set_rate(rate, burst, now)
+        self._own_part.set_rate(rate * part, burst, now)
 
     def may_send(self, now: datetime.datetime) -> bool:
         """Return whether this gateway may use the endpoint."""
--- a/tests/unit/test_rate_limits.py
+++ b/tests/unit/test_rate_limits.py
@@ -5,6 +5,7 @@
 import pytest
 
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_rate_limit
 from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.kernel import clock
 from tests.lib import simulated_rate_limits as simulated
@@ -49,6 +50,51 @@
     assert busiest <= simulated.max_requests(rate)
 
 
+def surge_after_quiet_time(rate: float, seed: int) -> int:
+    """Return the busiest window of a surge that finds an idle endpoint."""
+    load = simulated.Load(gateways=30, rate=rate, per_s=5.0)
+    simulation = simulated.Simulation(load, seed)
+    simulation.run(4 * SECOND)
+    load.per_s = 0.0
+    simulation.run(40 * SECOND)
+    load.per_s = 40.0
+    since = simulation.now
+    simulation.run(6 * SECOND)
+    return simulation.busiest_window(since)
+
+
+@pytest.mark.parametrize('rate', [0.0, 0.3, 1.0, 4.5, 10.0])
+def test_a_surge_at_an_idle_endpoint_keeps_its_limit(rate: float) -> None:
+    """Senders may have saved requests, which they must not add up."""
+    for seed in range(3):
+        busiest = surge_after_quiet_time(rate, seed)
+        assert busiest <= simulated.max_requests(rate)
+
+
+def test_a_limit_is_exceeded_without_the_peers_counts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A gateway that sees only its own requests can't keep it."""
+    monkeypatch.setattr(
+        endpoint_rate_limit.EndpointRateLimit,
+        'record_peer_count',
+        lambda *_: None,
+    )
+    load = simulated.Load(gateways=30, rate=4.5, per_s=20.0)
+    simulation = simulated.Simulation(load, 1)
+    simulation.run(12 * SECOND)
+    busiest = simulation.busiest_window(clock.EPOCH + 3 * SECOND)
+    assert busiest > simulated.max_requests(load.rate)
+
+
+def test_a_limit_is_exceeded_with_all_gateways_as_senders(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each may send before it learns of the others."""
+    monkeypatch.setattr(rate_limits, 'MIN_SENDERS', 30)
+    assert surge_after_quiet_time(1.0, 1) > simulated.max_requests(1.0)
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_the_load_of_incident_inc1(seed: int) -> None:
     """Eight gateways, three of the zone prefer the endpoint to others."""
