Keep a rate limit when an endpoint fails without stating it

Any answered response without the header ended the limit. An endpoint in need may also fail, and its failures may leave the header out; all gateways would then send as much as they like until the next statement. Only a response that is no failure ends a limit now (test_a_failure_without_a_statement_does_not_lift_a_limit). Found by reading; no run has shown such an endpoint.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -160,7 +160,9 @@
         if echoed.decode('latin-1') != self._call.id:
             # The response belongs to another request.
             return outcome.AttemptResult.LOST
-        self._record_rate_limit(headers, sent_at, may_lift=True)
+        self._record_rate_limit(
+            headers, sent_at, may_lift=head.status_code < 500
+        )
         return outcome.AttemptResult.ANSWERED
 
     def _record_rate_limit(
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -290,6 +290,11 @@
         """Number of known endpoints."""
         return len(self._core.directory)
 
+    @property
+    def limited_endpoints(self) -> int:
+        """Number of endpoints that state a rate limit."""
+        return self._core.rate_limits.count()
+
     def routable(self, service: str) -> int:
         """Return the number of a service's endpoints that get requests."""
         now = self._clock.now()
--- a/tests/functional/test_gateway_rate_limits.py
+++ b/tests/functional/test_gateway_rate_limits.py
@@ -130,3 +130,27 @@
                     assert response.status == 200
 
     asyncio.run(run())
+
+
+def test_a_failure_without_a_statement_does_not_lift_a_limit() -> None:
+    """A failing endpoint may leave it out."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            limited = await rig.add_worker('w-1')
+            limited.rate_limit = 50.0
+            await rig.wait_until_ready()
+            assert (await rig.request('/safe/')).status == 200
+            limited.rate_limit = None
+            limited.script = workers.server_error
+            async with asyncio.timeout(rigs.TIMEOUT_S):
+                while (await rig.request('/once/')).status != 500:
+                    pass
+            assert rig.gateway.limited_endpoints == 1
+            limited.script = workers.complete
+            async with asyncio.timeout(rigs.TIMEOUT_S):
+                while (await rig.request('/once/')).status != 200:
+                    pass
+            assert rig.gateway.limited_endpoints == 0
+
+    asyncio.run(run())
