Let tests share the rate limit rule and the endpoints' entries

The bound on an endpoint's requests stood in the functional test, the simulation and the soak, and an endpoint's entry in three test files. Each stands once now, in tests/lib. No assertion changes.

--- a/bench/rate_limits.py
+++ b/bench/rate_limits.py
@@ -8,6 +8,7 @@
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.kernel import token_bucket
 from bench import report
+from tests.lib import rate_limit_rule
 from tests.lib import simulated_rate_limits as simulated
 
 DURATION = 20 * simulated.SECOND
@@ -110,7 +111,7 @@
         report.Row(
             figure=f'busiest 4 s over allowed, {case}',
             variant=variant,
-            value=busiest / simulated.max_requests(rate),
+            value=busiest / rate_limit_rule.max_requests(rate),
         ),
         report.Row(
             figure=f'used of the limit, {case}',
--- a/tests/functional/test_gateway_rate_limits.py
+++ b/tests/functional/test_gateway_rate_limits.py
@@ -6,30 +6,18 @@
 
 from tests.lib import gateway_rig as rigs
 from tests.lib import gateway_set
+from tests.lib import rate_limit_rule
 
 GATEWAYS = 3
 
-LEARNING_S = 0.5
-"""Gateways that a limit reached longer ago are bound by it."""
-
-WINDOW_S = 4.0
-"""Length of the windows in which the requests are counted."""
-
 PACE_S = 0.1
 """Pause between the requests of one caller."""
 
 
-def max_requests(rate_limit: float) -> float:
-    """Return the most requests that an endpoint may get in a window."""
-    return 1.5 * rate_limit * WINDOW_S + 5
-
-
 def busiest_window(worker: workers.Worker, since: float) -> int:
     """Return the most requests in a window that begins after ``since``."""
     times = [r.arrived_at for r in worker.requests if r.arrived_at > since]
-    return max(
-        (sum(t <= u < t + WINDOW_S for u in times) for t in times), default=0
-    )
+    return rate_limit_rule.busiest_window(times, rate_limit_rule.WINDOW_S)
 
 
 async def call_until_served_by(
@@ -71,8 +59,14 @@
             async with asyncio.TaskGroup() as callers:
                 for number in numbers:
                     callers.create_task(call_steadily(gateways, number, 40))
-            busiest = busiest_window(limited, told_at + LEARNING_S)
-            assert 1 <= busiest <= max_requests(limited.rate_limit)
+            busiest = busiest_window(
+                limited, told_at + rate_limit_rule.LEARNING_S
+            )
+            assert (
+                1
+                <= busiest
+                <= rate_limit_rule.max_requests(limited.rate_limit)
+            )
 
     asyncio.run(run())
 
--- a/tests/lib/simulated_rate_limits.py
+++ b/tests/lib/simulated_rate_limits.py
@@ -14,13 +14,14 @@
 from aspenfold._internal.gateway import peers
 from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.kernel import clock
+from tests.lib import listings
+from tests.lib import rate_limit_rule
 
 SECOND = datetime.timedelta(seconds=1)
 TICK = 25 * clock.MILLISECOND
 ENDPOINT = 'w'
 
-WINDOW = 4 * SECOND
-"""The time in which the requests of all gateways are counted."""
+WINDOW = rate_limit_rule.WINDOW_S * SECOND
 
 
 class Policy(typing.Protocol):
@@ -71,24 +72,6 @@
     )
 
 
-def listing_of(name: str) -> directory.Listing:
-    """Return the entry of an endpoint in zone 0."""
-    return directory.Listing(
-        name=name,
-        service='s',
-        host='h',
-        port=1,
-        zone='zone-0',
-        capacity=6,
-        draining=False,
-    )
-
-
-def max_requests(rate: float) -> float:
-    """Return the most requests that an endpoint may get in a window."""
-    return 1.5 * rate * (WINDOW / SECOND) + 5
-
-
 @dataclasses.dataclass(kw_only=True)
 class Load:
     """What the callers and the network of a simulation do.
@@ -142,7 +125,9 @@
             f'g-{i}': f'zone-{i % load.zones}' for i in range(load.gateways)
         }
         self._directory = directory.Directory()
-        self._directory.update_listing(listing_of(ENDPOINT))
+        self._directory.update_listing(
+            listings.make_listing(ENDPOINT, zone='zone-0')
+        )
         self._pending: list[
             tuple[datetime.datetime, abc.Callable[[], None]]
         ] = []
@@ -185,9 +170,7 @@
     def busiest_window(self, since: datetime.datetime) -> int:
         """Return the most requests in a window that starts after ``since``."""
         times = [at for at, _ in self.sent if at >= since]
-        return max(
-            (sum(t <= u < t + WINDOW for u in times) for t in times), default=0
-        )
+        return rate_limit_rule.busiest_window(times, WINDOW)
 
     def _later(
         self, limit: datetime.timedelta, action: abc.Callable[[], None]
--- a/tests/soak/rate_limits.py
+++ b/tests/soak/rate_limits.py
@@ -8,6 +8,7 @@
 
 from aspenfold_standins import platform_worker
 
+from tests.lib import rate_limit_rule
 from tests.soak import soak_history
 from tests.soak import system_under_test
 
@@ -20,20 +21,6 @@
 PAUSE_RANGE_S = (0.5, 2.0)
 """Time between two limits."""
 
-SETTLING_S = 3.0
-"""Time after the first statement of a limit until it must be kept."""
-
-LEARNING_S = 0.5
-"""Time after which a gateway that forwarded a statement must know it."""
-
-WINDOW_S = 4.0
-"""Length of the windows in which requests are counted."""
-
-EXCESS_FACTOR = 1.5
-"""Multiple of the limit that is allowed in a window, plus EXCESS_REQUESTS."""
-
-EXCESS_REQUESTS = 5
-
 Process = tuple[str, int]
 """A gateway's name and the number of its process."""
 
@@ -92,12 +79,12 @@
     """Return a description of each limit that was not kept."""
     violations = []
     for period in periods:
-        allowed = EXCESS_FACTOR * period.rate * WINDOW_S + EXCESS_REQUESTS
+        allowed = rate_limit_rule.max_requests(period.rate)
         busiest = _busiest_window(period, history)
         if busiest > allowed:
             violations.append(
                 f'{period.endpoint.name} with a limit of {period.rate} '
-                f'received {busiest} requests in {WINDOW_S} s'
+                f'received {busiest} requests in {rate_limit_rule.WINDOW_S} s'
             )
     return violations
 
@@ -107,7 +94,11 @@
 ) -> int:
     """Return the most requests in a window, of gateways that must know."""
     arrivals = _arrivals_after_statement(period, history)
-    starts = [at for at, _ in arrivals if at >= period.since + SETTLING_S]
+    starts = [
+        at
+        for at, _ in arrivals
+        if at >= period.since + rate_limit_rule.SETTLING_S
+    ]
     return max(
         (_count_window(at, arrivals, period, history) for at in starts),
         default=0,
@@ -120,7 +111,7 @@
     period: LimitPeriod,
     history: soak_history.SoakHistory,
 ) -> int:
-    end = start + WINDOW_S
+    end = start + rate_limit_rule.WINDOW_S
     if not history.is_fault_free(period.endpoint.name, start, end):
         return 0
     in_window = [gateway for at, gateway in arrivals if start <= at < end]
@@ -145,7 +136,7 @@
             continue
         process = request.gateway, request.process_number
         told_at = told.get(process, float('inf'))
-        if received.arrived_at >= told_at + LEARNING_S:
+        if received.arrived_at >= told_at + rate_limit_rule.LEARNING_S:
             arrivals.append((received.arrived_at, process))
     return arrivals
 
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -1,7 +1,6 @@
 """Tests of the smaller parts of the gateway."""
 
 import ast
-import dataclasses
 import datetime
 import json
 import pathlib
@@ -29,6 +28,7 @@
 from aspenfold.platform import config
 from aspenfold.platform import endpoint_records
 from aspenfold.platform import settings as platform_settings
+from tests.lib import listings
 
 SECOND = datetime.timedelta(seconds=1)
 SOURCES = pathlib.Path(__file__).resolve().parents[2] / 'src' / 'aspenfold'
@@ -301,19 +301,6 @@
     assert request.token == 11
 
 
-def listing_of(name: str) -> directory.Listing:
-    """Return the listing of an endpoint."""
-    return directory.Listing(
-        name=name,
-        service='s',
-        host='h',
-        port=1,
-        zone='z',
-        capacity=4,
-        draining=False,
-    )
-
-
 def gateways() -> tuple[peers.Peers, peers.Peers, directory.Directory]:
     """Return two peers that know each other, and the second's directory."""
     addresses = {
@@ -323,7 +310,7 @@
     made = []
     for name in ('g-1', 'g-2'):
         known = directory.Directory()
-        known.update_listing(listing_of('w'))
+        known.update_listing(listings.make_listing('w'))
         one = peers.Peers(
             host=name,
             zone='z',
@@ -351,7 +338,7 @@
     Updates that all gateways need are sent to all zones immediately.
     """
     known = directory.Directory()
-    known.update_listing(listing_of('w'))
+    known.update_listing(listings.make_listing('w'))
     one = peers.Peers(
         host='g-0',
         zone='z',
@@ -425,7 +412,7 @@
 
 def endpoint_of(zone: str, in_flight: int) -> directory.Endpoint:
     """Return an endpoint with a capacity of four."""
-    listing = dataclasses.replace(listing_of(f'{zone}-{in_flight}'), zone=zone)
+    listing = listings.make_listing(f'{zone}-{in_flight}', zone=zone)
     return directory.Endpoint(listing=listing, in_flight=in_flight)
 
 
--- a/tests/unit/test_rate_limits.py
+++ b/tests/unit/test_rate_limits.py
@@ -8,6 +8,8 @@
 from aspenfold._internal.gateway import endpoint_rate_limit
 from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.kernel import clock
+from tests.lib import listings
+from tests.lib import rate_limit_rule
 from tests.lib import simulated_rate_limits as simulated
 
 ENDPOINT = simulated.ENDPOINT
@@ -25,7 +27,7 @@
 
 def add_endpoint(known: directory.Directory, name: str) -> directory.Endpoint:
     """Add an endpoint to a directory."""
-    known.update_listing(simulated.listing_of(name))
+    known.update_listing(listings.make_listing(name, zone='zone-0'))
     endpoint = known.get(name)
     assert endpoint is not None
     return endpoint
@@ -47,7 +49,7 @@
     simulation = simulated.Simulation(load, seed)
     simulation.run(20 * SECOND)
     busiest = simulation.busiest_window(clock.EPOCH + 3 * SECOND)
-    assert busiest <= simulated.max_requests(rate)
+    assert busiest <= rate_limit_rule.max_requests(rate)
 
 
 def surge_after_quiet_time(rate: float, seed: int) -> int:
@@ -68,7 +70,7 @@
     """Senders may have saved requests, which they must not add up."""
     for seed in range(3):
         busiest = surge_after_quiet_time(rate, seed)
-        assert busiest <= simulated.max_requests(rate)
+        assert busiest <= rate_limit_rule.max_requests(rate)
 
 
 def test_a_limit_is_exceeded_without_the_peers_counts(
@@ -84,7 +86,7 @@
     simulation = simulated.Simulation(load, 1)
     simulation.run(12 * SECOND)
     busiest = simulation.busiest_window(clock.EPOCH + 3 * SECOND)
-    assert busiest > simulated.max_requests(load.rate)
+    assert busiest > rate_limit_rule.max_requests(load.rate)
 
 
 def test_a_limit_is_exceeded_with_all_gateways_as_senders(
@@ -92,7 +94,7 @@
 ) -> None:
     """Each may send before it learns of the others."""
     monkeypatch.setattr(rate_limits, 'MIN_SENDERS', 30)
-    assert surge_after_quiet_time(1.0, 1) > simulated.max_requests(1.0)
+    assert surge_after_quiet_time(1.0, 1) > rate_limit_rule.max_requests(1.0)
 
 
 @pytest.mark.parametrize('seed', range(5))
@@ -103,7 +105,7 @@
     )
     simulation.run(30 * SECOND)
     busiest = simulation.busiest_window(clock.EPOCH + 3 * SECOND)
-    assert busiest <= simulated.max_requests(1.0)
+    assert busiest <= rate_limit_rule.max_requests(1.0)
     late = [at for at, _ in simulation.sent if at > clock.EPOCH + 10 * SECOND]
     # The endpoint takes 20 in this time, and is not left idle.
     assert 12 <= len(late) <= 24
@@ -120,7 +122,9 @@
         simulation.restart(host)
     simulation.run(6 * SECOND)
     since = simulation.now - 5 * SECOND
-    assert simulation.busiest_window(since) <= simulated.max_requests(2.0)
+    assert simulation.busiest_window(since) <= rate_limit_rule.max_requests(
+        2.0
+    )
 
 
 def test_an_endpoint_without_its_limit_is_used_by_all_again() -> None:
--- a/tests/unit/test_store_feeds.py
+++ b/tests/unit/test_store_feeds.py
@@ -11,6 +11,7 @@
 from aspenfold._internal.gateway import relay
 from aspenfold._internal.gateway import store_feeds
 from aspenfold._internal.kernel import clock
+from tests.lib import listings
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -136,15 +137,7 @@
 
 def decode_listing(name: str, value: bytes) -> directory.Listing:
     """Decode a listing that consists of a state."""
-    return directory.Listing(
-        name=name,
-        service='s',
-        host='h',
-        port=1,
-        zone='z',
-        capacity=4,
-        draining=value == b'draining',
-    )
+    return listings.make_listing(name, draining=value == b'draining')
 
 
 def page(
