Log what a refusing endpoint asks for, decoded in one place

What responses state is decoded in platform/endpoint_statements.py into one typed message; a refusal is logged with it (ATTEMPT_DECLINED, 305), and values that cannot be read are counted (aspenfold_invalid_headers). Each known name is read, or ignored by name. No decision changes.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -6,10 +6,12 @@
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import outage
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import plan as plan_module
+from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import http1_client
 from aspenfold._internal.observability import events
 
@@ -32,7 +34,6 @@
         endpoint: directory.Endpoint,
     ) -> None:
         self._core = core
-        self._names = core.header_names
         self._call = call
         self._history = history
         self._endpoint = endpoint
@@ -146,28 +147,58 @@
         """
         headers = list(head.headers)
         self._core.unknown_headers.check(self._endpoint.name, headers)
-        load = forwarding.header(headers, self._names.load)
-        if load:
-            reported_load = forwarding.parse_load(load)
-            if reported_load is not None:
-                self._endpoint.update_load(reported_load)
+        statement = self._core.statements.decode(headers)
+        self._log_invalid_headers(statement)
+        if statement.load is not None:
+            self._endpoint.update_load(statement.load)
         if head.status_code == 421:
             return outcome.AttemptResult.REPLACED
-        if forwarding.header(headers, self._names.not_run):
-            self._record_rate_limit(headers, sent_at, may_lift=False)
+        if statement.not_run:
+            self._log_refusal(head.status_code, statement)
+            self._record_rate_limit(statement, sent_at, may_lift=False)
             return self._refusal_result()
-        echoed = forwarding.header(headers, self._names.attempt_id)
-        if echoed.decode('latin-1') != self._call.id:
+        if statement.attempt_id != self._call.id:
             # The response belongs to another request.
             return outcome.AttemptResult.LOST
         self._record_rate_limit(
-            headers, sent_at, may_lift=head.status_code < 500
+            statement, sent_at, may_lift=head.status_code < 500
         )
         return outcome.AttemptResult.ANSWERED
 
+    def _log_invalid_headers(
+        self, statement: endpoint_statement.EndpointStatement
+    ) -> None:
+        for header in statement.invalid:
+            self._core.metrics.increment('invalid_headers', header.name)
+            events.emit(
+                events.Event.HEADER_INVALID,
+                endpoint=self._endpoint.name,
+                name=header.name,
+                error=header.error,
+            )
+
+    def _log_refusal(
+        self, status: int, statement: endpoint_statement.EndpointStatement
+    ) -> None:
+        load, retry_after_ms = statement.load, None
+        if statement.retry_after is not None:
+            retry_after_ms = clock_module.to_ms(statement.retry_after)
+        events.emit(
+            events.Event.ATTEMPT_DECLINED,
+            call=self._call.id,
+            endpoint=self._endpoint.name,
+            status=status,
+            retry_after_ms=retry_after_ms,
+            leaving=statement.leaving,
+            at_fault=statement.at_fault,
+            running=None if load is None else load.running,
+            waiting=None if load is None else load.waiting,
+            capacity=None if load is None else load.capacity,
+        )
+
     def _record_rate_limit(
         self,
-        headers: forwarding.Headers,
+        statement: endpoint_statement.EndpointStatement,
         sent_at: datetime.datetime,
         *,
         may_lift: bool,
@@ -176,21 +207,15 @@
 
         Without one, the limit has ended if ``may_lift``.
         """
-        value = forwarding.header(headers, self._names.rate_limit)
-        if not value and not may_lift:
+        if statement.rate_limit_invalid:
             return
-        try:
-            rate = forwarding.parse_rate_limit(value) if value else None
-        except ValueError as exc:
-            events.emit(
-                events.Event.HEADER_INVALID,
-                endpoint=self._endpoint.name,
-                name=self._names.rate_limit.decode('latin-1'),
-                error=str(exc)[:200],
-            )
+        if statement.rate_limit is None and not may_lift:
             return
         self._core.rate_limits.record_statement(
-            self._endpoint, rate, sent_at=sent_at, now=self._core.clock.now()
+            self._endpoint,
+            statement.rate_limit,
+            sent_at=sent_at,
+            now=self._core.clock.now(),
         )
 
     def _refusal_result(self) -> outcome.AttemptResult:
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -6,6 +6,7 @@
 
 from aspenfold._internal.gateway import admission
 from aspenfold._internal.gateway import directory as directory_module
+from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import header_names as header_names_module
 from aspenfold._internal.gateway import outage
@@ -44,16 +45,18 @@
         *,
         cfg: settings.GatewaySettings,
         header_names: header_names_module.HeaderNames,
+        statements: endpoint_statement.Decoder,
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
         self.cfg = cfg
         self.header_names = header_names
+        self.statements = statements
         self.clock = clock
         self.rng = rng
         self.forwarding = forwarding.Forwarding(header_names=header_names)
         self.unknown_headers = unknown_headers.UnknownHeaders(
-            header_names=header_names
+            known_headers=statements.known_headers
         )
         self.directory = directory_module.Directory()
         self.rate_limits = rate_limits.RateLimits(
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/endpoint_statement.py
@@ -0,0 +1,55 @@
+"""What an endpoint states about itself in the headers of a response."""
+
+from collections import abc
+import dataclasses
+import datetime
+import typing
+
+from aspenfold._internal.gateway import directory
+
+Headers = abc.Sequence[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InvalidHeader:
+    """A header whose value could not be used, and why."""
+
+    name: str
+    error: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointStatement:
+    """The decoded headers of one response.
+
+    ``attempt_id`` is the attempt that it belongs to, empty if it names none.
+    ``not_run`` is whether the endpoint did not run the request.  Unless it
+    is None, ``load`` is the endpoint's load, ``rate_limit`` the requests a
+    second that it takes from all gateways, and ``retry_after`` how long it
+    wants no request from this gateway.  ``rate_limit_invalid`` is whether it
+    stated a limit that could not be read.  It is ``leaving`` if it will
+    stop soon.  ``at_fault`` is the endpoint that made the request fail,
+    empty if it names none.  ``invalid`` are the headers that were ignored.
+    """
+
+    attempt_id: str = ''
+    not_run: bool = False
+    load: directory.Load | None = None
+    rate_limit: float | None = None
+    rate_limit_invalid: bool = False
+    retry_after: datetime.timedelta | None = None
+    leaving: bool = False
+    at_fault: str = ''
+    invalid: tuple[InvalidHeader, ...] = ()
+
+
+class Decoder(typing.Protocol):
+    """Decodes the headers of the platform's endpoints.
+
+    ``known_headers`` are the names that it reads or ignores on purpose.
+    """
+
+    known_headers: frozenset[bytes]
+
+    def decode(self, headers: Headers) -> EndpointStatement:
+        """Return what the headers of a response state."""
--- a/src/aspenfold/_internal/gateway/forwarding.py
+++ b/src/aspenfold/_internal/gateway/forwarding.py
@@ -1,7 +1,5 @@
 """Selects the headers to forward to endpoints and to callers."""
 
-import math
-
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import header_names as header_names_module
 from aspenfold._internal.network import http1_client
@@ -118,23 +116,3 @@
     """Return the header names that the Connection header lists."""
     value = header(headers, b'connection')
     return frozenset(n.strip().lower() for n in value.split(b',') if n)
-
-
-def parse_load(value: bytes) -> directory.Load | None:
-    """Parse "running,waiting,capacity"; return None if malformed."""
-    parts = value.split(b',')
-    if len(parts) != 3 or not all(p.strip().isdigit() for p in parts):
-        return None
-    running, waiting, capacity = (int(p) for p in parts)
-    return directory.Load(running=running, waiting=waiting, capacity=capacity)
-
-
-def parse_rate_limit(value: bytes) -> float:
-    """Parse a decimal number of requests a second.
-
-    Raises :class:`ValueError` if it is malformed, negative or not finite.
-    """
-    rate_limit = float(value)
-    if not math.isfinite(rate_limit) or rate_limit < 0:
-        raise ValueError(f'{rate_limit} is not a rate of requests')
-    return rate_limit
--- a/src/aspenfold/_internal/gateway/header_names.py
+++ b/src/aspenfold/_internal/gateway/header_names.py
@@ -1,7 +1,6 @@
 """Names of the HTTP headers that a platform uses."""
 
 import dataclasses
-import functools
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -16,16 +15,8 @@
     time_left_ms: bytes
     expected_endpoint: bytes
     organisation: bytes
-    not_run: bytes
-    load: bytes
-    rate_limit: bytes
     signature: bytes
     last_event_id: bytes
     priority: bytes
     token_usage: bytes
     length_hint: bytes
-
-    @functools.cached_property
-    def all(self) -> frozenset[bytes]:
-        """All of these names."""
-        return frozenset(dataclasses.astuple(self))
--- a/src/aspenfold/_internal/gateway/ports.py
+++ b/src/aspenfold/_internal/gateway/ports.py
@@ -7,6 +7,7 @@
 
 from aspenfold._internal.expertmaps import rank_protocol
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import plan
 
 
@@ -132,3 +133,4 @@
     endpoint_topic: str
     decode_listing: abc.Callable[[str, bytes], directory.Listing]
     engine: Engine
+    statements: endpoint_statement.Decoder
--- a/src/aspenfold/_internal/gateway/unknown_headers.py
+++ b/src/aspenfold/_internal/gateway/unknown_headers.py
@@ -6,26 +6,8 @@
 
 from collections import abc
 
-from aspenfold._internal.gateway import forwarding
-from aspenfold._internal.gateway import header_names as header_names_module
 from aspenfold._internal.observability import events
 
-ORDINARY_HEADERS = frozenset(
-    {
-        b'cache-control',
-        b'content-encoding',
-        b'content-length',
-        b'content-type',
-        b'date',
-        b'etag',
-        b'last-modified',
-        b'retry-after',
-        b'server',
-        b'vary',
-    }
-)
-"""Headers of any HTTP response that say nothing to a gateway."""
-
 MAX_NAMES = 64
 """Names that are logged at most, as a faulty endpoint may invent many."""
 
@@ -36,12 +18,8 @@
 class UnknownHeaders:
     """Logs each unknown header name once."""
 
-    def __init__(
-        self, *, header_names: header_names_module.HeaderNames
-    ) -> None:
-        self._known = (
-            ORDINARY_HEADERS | forwarding.HOP_BY_HOP | header_names.all
-        )
+    def __init__(self, *, known_headers: abc.Container[bytes]) -> None:
+        self._known = known_headers
         self._logged: set[bytes] = set()
 
     def check(
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -33,6 +33,7 @@
     ATTEMPT_STARTED = 302
     ATTEMPT_ENDED = 303
     ATTEMPT_REFUSED = 304
+    ATTEMPT_DECLINED = 305
     CONFIG_IN_FORCE = 400
     RECORD_REJECTED = 401
     RECORD_WRITTEN = 402
@@ -87,6 +88,8 @@
     Event.ATTEMPT_STARTED: 'an agent sent an attempt to its endpoint',
     Event.ATTEMPT_ENDED: 'an endpoint completed the answer to an attempt',
     Event.ATTEMPT_REFUSED: 'an endpoint gave no complete answer',
+    Event.ATTEMPT_DECLINED: 'an endpoint did not run an attempt, with what it '
+    'stated',
     Event.CONFIG_IN_FORCE: 'an entry applied a configuration',
     Event.RECORD_REJECTED: 'a record in the log or store was rejected',
     Event.RECORD_WRITTEN: 'an entry appended a record to the log',
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -63,6 +63,7 @@
         self._core = core_module.Core(
             cfg=cfg,
             header_names=header_names,
+            statements=platform.statements,
             clock=clock,
             rng=random.Random(secrets.randbits(128)),
         )
--- a/src/aspenfold/platform/factory.py
+++ b/src/aspenfold/platform/factory.py
@@ -4,6 +4,7 @@
 from aspenfold._internal.gateway import settings
 from aspenfold.platform import config
 from aspenfold.platform import endpoint_records
+from aspenfold.platform import endpoint_statements
 from aspenfold.platform import engine
 from aspenfold.platform import store
 
@@ -18,4 +19,5 @@
         endpoint_topic=endpoint_records.TOPIC,
         decode_listing=endpoint_records.decode,
         engine=engine.EngineClient(),
+        statements=endpoint_statements.StatementDecoder(),
     )
--- a/src/aspenfold/platform/headers.py
+++ b/src/aspenfold/platform/headers.py
@@ -1,4 +1,4 @@
-"""HTTP header names of the platform, in lower case."""
+"""HTTP header names of requests on the platform, in lower case."""
 
 from aspenfold._internal.gateway import header_names
 
@@ -11,13 +11,6 @@
     # An endpoint that is another incarnation responds with 421.
     expected_endpoint=b'x-aspenfold-expect-instance',
     organisation=b'x-aspenfold-tenant',
-    # Present on a response if the endpoint did not run the request.
-    not_run=b'x-aspenfold-not-executed',
-    # The endpoint's running and waiting requests, and its capacity.
-    load=b'x-aspenfold-instance-load',
-    # Requests a second, a decimal number, that the endpoint takes from all
-    # gateways together while its responses say so.
-    rate_limit=b'server-limit',
     # The endpoint's signature of the response; passed on unchanged.
     signature=b'x-aspenfold-response-seal',
     last_event_id=b'last-event-id',
--- a/tests/unit/test_endpoint_headers.py
+++ b/tests/unit/test_endpoint_headers.py
@@ -4,15 +4,16 @@
 
 import pytest
 
-from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import unknown_headers
 from aspenfold._internal.observability import events
-from aspenfold.platform import headers
+from aspenfold.platform import endpoint_statements
 
 
 def logged_names(responses: list[list[tuple[bytes, bytes]]]) -> list[str]:
     """Return the header names that are logged for responses in order."""
-    checker = unknown_headers.UnknownHeaders(header_names=headers.HEADER_NAMES)
+    checker = unknown_headers.UnknownHeaders(
+        known_headers=endpoint_statements.StatementDecoder.known_headers
+    )
     with mock.patch.object(events, 'emit', autospec=True) as emit:
         for response in responses:
             checker.check('w-1', response)
@@ -21,7 +22,7 @@
 
 def test_a_header_that_is_not_known_is_logged_once() -> None:
     """What an endpoint states must not be ignored without a trace."""
-    known = [(headers.HEADER_NAMES.load, b'0,0,6'), (b'date', b'today')]
+    known = [(endpoint_statements.LOAD, b'0,0,6'), (b'date', b'today')]
     new = [*known, (b'x-new', b'1')]
     assert logged_names([known, new, new]) == ['x-new']
 
@@ -38,10 +39,10 @@
 def test_an_invalid_rate_limit_is_an_error(value: bytes) -> None:
     """It must neither become a limit nor lift one."""
     with pytest.raises(ValueError):
-        forwarding.parse_rate_limit(value)
+        endpoint_statements.parse_rate_limit(value)
 
 
 def test_a_rate_limit_is_a_decimal_number() -> None:
     """Fractions of a request a second and zero are valid."""
-    assert forwarding.parse_rate_limit(b'0.25') == 0.25
-    assert forwarding.parse_rate_limit(b'0') == 0.0
+    assert endpoint_statements.parse_rate_limit(b'0.25') == 0.25
+    assert endpoint_statements.parse_rate_limit(b'0') == 0.0
