--- a/standins/aspenfold_standins/platform_worker.py
+++ b/standins/aspenfold_standins/platform_worker.py
@@ -7,22 +7,41 @@
 import asyncio
 import collections
 from collections import abc
+import dataclasses
+import time
 
 from aspenfold_standins import http11
 
 SEAL_HEADER = 'X-Aspenfold-Response-Seal'
 ATTEMPT_HEADER = 'x-aspenfold-attempt-id'
 RATE_LIMIT_HEADER = 'Server-Limit'
+LEAVING_HEADER = 'Server-Leaving'
+RETRY_AFTER_HEADER = 'Retry-After'
 
 Script = abc.Callable[['Worker', http11.Exchange], abc.Awaitable[None]]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """A 503 that asked for no request for ``retry_after_s`` from ``at`` on.
+
+    ``at`` is a time of the monotonic clock; ``attempt`` is the attempt that
+    was refused.
+    """
+
+    at: float
+    retry_after_s: float
+    attempt: str
+
+
 class Worker:
     """One incarnation of an endpoint.
 
     ``script`` writes the response to each request; ``executions`` counts
     the executions of each attempt id.  Unless it is None, responses state
     ``rate_limit``, the requests a second that it takes from all gateways.
+    Unless it is None, a 503 states ``retry_after``, in seconds, and is added
+    to ``refusals``.  All responses say so while the endpoint is ``leaving``.
     """
 
     def __init__(self, name: str, *, slots: int = 6) -> None:
@@ -35,6 +54,9 @@
         self.event_count = 10
         self.event_interval_s = 0.0
         self.rate_limit: float | None = None
+        self.retry_after: float | None = None
+        self.refusals: list[Refusal] = []
+        self.leaving = False
         self._server = http11.Server(self._handle)
 
     async def start(self, port: int = 0) -> None:
@@ -69,8 +91,25 @@
         headers = {SEAL_HEADER: f'seal-{self.name}', ATTEMPT_HEADER: attempt}
         if self.rate_limit is not None:
             headers[RATE_LIMIT_HEADER] = str(self.rate_limit)
+        if self.leaving:
+            headers[LEAVING_HEADER] = '1'
         return headers
 
+    async def respond_503(
+        self, exchange: http11.Exchange, headers: dict[str, str]
+    ) -> None:
+        """Send a 503, with ``retry_after`` if there is one."""
+        if self.retry_after is not None:
+            headers[RETRY_AFTER_HEADER] = str(self.retry_after)
+            self.refusals.append(
+                Refusal(
+                    at=time.monotonic(),
+                    retry_after_s=self.retry_after,
+                    attempt=headers[ATTEMPT_HEADER],
+                )
+            )
+        await exchange.respond(503, headers)
+
     def record_execution(self, exchange: http11.Exchange) -> None:
         """Count an execution of the request's attempt."""
         self.executions[exchange.request.headers.get(ATTEMPT_HEADER, '')] += 1
@@ -107,7 +146,16 @@
     del headers[SEAL_HEADER]
     headers['X-Aspenfold-Not-Executed'] = '1'
     headers['X-Aspenfold-Instance-Load'] = f'{worker.slots},9,{worker.slots}'
-    await exchange.respond(503, headers)
+    await worker.respond_503(exchange, headers)
+
+
+async def refuse_while_idle(worker: Worker, exchange: http11.Exchange) -> None:
+    """Refuse without executing although all slots are free."""
+    headers = worker.response_headers(exchange)
+    del headers[SEAL_HEADER]
+    headers['X-Aspenfold-Not-Executed'] = '1'
+    headers['X-Aspenfold-Instance-Load'] = f'0,0,{worker.slots}'
+    await worker.respond_503(exchange, headers)
 
 
 async def group_unavailable(worker: Worker, exchange: http11.Exchange) -> None:
@@ -115,13 +163,13 @@
     headers = worker.response_headers(exchange)
     headers['X-Aspenfold-Not-Executed'] = '1'
     headers['X-Aspenfold-Instance-Load'] = f'0,0,{worker.slots}'
-    await exchange.respond(503, headers)
+    await worker.respond_503(exchange, headers)
 
 
 async def unmarked_503(worker: Worker, exchange: http11.Exchange) -> None:
     """Execute, then respond 503 without the not-executed header."""
     worker.record_execution(exchange)
-    await exchange.respond(503, worker.response_headers(exchange))
+    await worker.respond_503(exchange, worker.response_headers(exchange))
 
 
 async def run_and_reset(worker: Worker, exchange: http11.Exchange) -> None:
--- /dev/null
+++ b/tests/functional/test_gateway_statements.py
@@ -0,0 +1,84 @@
+"""Endpoints that state that they want no requests."""
+
+import asyncio
+import time
+
+from aspenfold_standins import platform_worker as workers
+
+from tests.lib import gateway_rig as rigs
+from tests.lib import retry_after_rule
+
+PACE_S = 0.02
+"""Pause between the requests of a caller."""
+
+DRAIN_S = 2.0
+"""Time after which an endpoint that leaves may stop."""
+
+
+def arrivals(worker: workers.Worker, path: str) -> list[float]:
+    """Return when the requests for ``path`` arrived at an endpoint."""
+    return [r.arrived_at for r in worker.requests if r.target == path]
+
+
+async def call_for(
+    rig: rigs.Rig, path: str, seconds: float
+) -> list[rigs.Response]:
+    """Call the gateway steadily; return the responses."""
+    responses = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        responses.append(await rig.request(path))
+        await asyncio.sleep(PACE_S)
+    return responses
+
+
+def test_a_rank_that_refuses_with_retry_after_is_not_asked_again() -> None:
+    """Incident inc1: its refusal counted as one of the whole group."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            resting = await rig.add_worker(
+                'w-1', workers.refuse_while_idle, 'model'
+            )
+            resting.retry_after = 2.0
+            for name in ('w-2', 'w-3'):
+                await rig.add_worker(name, workers.stream_events, 'model')
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 3)
+            await rig.wait_until_ready()
+            async with asyncio.timeout(rigs.TIMEOUT_S):
+                while not resting.refusals:
+                    await rig.request('/model/')
+            await call_for(rig, '/model/', resting.retry_after)
+            arrived = arrivals(resting, '/model/')
+            early = max(
+                retry_after_rule.count_early(refusal, arrived)
+                for refusal in resting.refusals
+            )
+            assert early <= retry_after_rule.MAX_REQUESTS
+
+    asyncio.run(run())
+
+
+def test_an_endpoint_that_states_its_leaving_gets_no_more_requests() -> None:
+    """It may have stopped by then; the store may not say so yet."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            leaving = await rig.add_worker('w-1')
+            await rig.add_worker('w-2')
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 2)
+            await rig.wait_until_ready()
+            leaving.leaving = True
+            async with asyncio.timeout(rigs.TIMEOUT_S):
+                while not arrivals(leaving, '/safe/'):
+                    await rig.request('/safe/')
+            told_at = time.monotonic()
+            await call_for(rig, '/safe/', DRAIN_S + 1.0)
+            late = [
+                at
+                for at in arrivals(leaving, '/safe/')
+                if at > told_at + DRAIN_S
+            ]
+            assert not late
+
+    asyncio.run(run())
