Ask one question before sending: may this gateway use an endpoint now

Leaving, rate limits and pauses were three checks in two modules, so that a further one is easily left out somewhere. Endpoint.permission() answers for all of them, with what forbids it and until when; every choice of an endpoint goes through Directory.routable(). A rate limit is kept on the endpoint that it belongs to, not beside it by name, so it ends with that endpoint.

No decision changes. The simulation of rate limits gave all gateways one directory; each has its own now, as in the programs. Unit tests pass, and the functional tests of gateways.

--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -14,6 +14,7 @@
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index as plan_index_module
 from aspenfold._internal.gateway import rate_limits
+from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.gateway import unknown_headers
 from aspenfold._internal.kernel import clock as clock_module
@@ -145,7 +146,7 @@
             return False
         now = self.clock.now()
         candidates = self._in_available_groups(
-            self._routable_within_limits(service, now)
+            self.directory.routable(service, now)
         )
         time_since_recovery = self.outages.time_since_recovery(candidates)
         return admission.should_refuse(
@@ -180,9 +181,9 @@
         ``avoid`` are chosen only if there are no others.
         """
         now = self.clock.now()
-        candidates = self._routable_within_limits(service, now, avoid)
+        candidates = self.directory.routable(service, now, avoid)
         if not candidates:
-            candidates = self._routable_within_limits(service, now)
+            candidates = self.directory.routable(service, now)
         if not candidates:
             return None
         policy = self._plain_routing
@@ -193,26 +194,14 @@
         self.rate_limits.record_sent(chosen.name, now)
         return chosen
 
-    def _routable_within_limits(
-        self,
-        service: str,
-        now: datetime.datetime,
-        avoid: abc.Container[str] = (),
-    ) -> list[directory_module.Endpoint]:
-        """Return the endpoints whose rate limits allow another request."""
-        return self.directory.routable(
-            service, now, avoid, self.rate_limits.may_send
-        )
-
-    def rate_limit_wait(self, service: str) -> datetime.timedelta | None:
-        """Return the time until a limited endpoint takes another request.
+    def next_permission(
+        self, service: str
+    ) -> send_permission.Permission | None:
+        """Return when the service's endpoints may be used again, and why.
 
-        Return None if the service has no endpoints.
+        Return None if there is no such endpoint.
         """
-        now = self.clock.now()
-        endpoints = self.directory.routable(service, now)
-        waits = [self.rate_limits.wait(e.name, now) for e in endpoints]
-        return min(waits, default=None)
+        return self.directory.next_permission(service, self.clock.now())
 
     def _create_policy(self, name: str) -> routing_policy.RoutingPolicy:
         policy: routing_policy.RoutingPolicy = registry.create(
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -9,6 +9,8 @@
 import dataclasses
 import datetime
 
+from aspenfold._internal.gateway import endpoint_rate_limit
+from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.observability import events
 
 UNREACHABLE_PAUSE = datetime.timedelta(milliseconds=800)
@@ -59,7 +61,8 @@
     ``in_flight_at_load`` the value of ``in_flight`` at that time.  It
     takes ``slowdown`` times as long for its work as normal.  ``group`` is
     its group of ranks, empty while that is not known.  Since
-    ``missing_since`` it has no entry in the list.
+    ``missing_since`` it has no entry in the list.  ``rate_limit`` is kept by
+    :class:`rate_limits.RateLimits`, None if the endpoint never stated one.
     """
 
     listing: Listing
@@ -73,6 +76,7 @@
     peer_in_flight: int = 0
     slowdown: float = 1.0
     group: str = ''
+    rate_limit: endpoint_rate_limit.EndpointRateLimit | None = None
 
     @property
     def name(self) -> str:
@@ -100,6 +104,25 @@
         """Whether one more request would start immediately."""
         return self.pressure <= 1.0 - 1.0 / self.listing.capacity
 
+    def permission(self, now: datetime.datetime) -> send_permission.Permission:
+        """Return whether this gateway may send to the endpoint now."""
+        if self.leaving:
+            return send_permission.Permission(
+                obstacle=send_permission.Obstacle.LEAVING
+            )
+        limit = self.rate_limit
+        if limit is not None and not limit.may_send(now):
+            return send_permission.Permission(
+                obstacle=send_permission.Obstacle.RATE_LIMIT,
+                until=now + limit.wait(now),
+            )
+        if self.paused_until is not None and self.paused_until > now:
+            return send_permission.Permission(
+                obstacle=send_permission.Obstacle.PAUSE,
+                until=self.paused_until,
+            )
+        return send_permission.GRANTED
+
     def update_load(self, load: Load) -> None:
         """Store the load that the endpoint reported."""
         self.load = load
@@ -251,24 +274,36 @@
         service: str,
         now: datetime.datetime,
         avoid: abc.Container[str] = (),
-        may_send: abc.Callable[[str, datetime.datetime], bool] | None = None,
     ) -> list[Endpoint]:
         """Return the endpoints of a service that may get a request.
 
-        Endpoints that are leaving, in ``avoid`` or for whose name
-        ``may_send`` is false are excluded.  Paused ones are returned only
+        Endpoints in ``avoid`` are excluded.  Paused ones are returned only
         if there are no others.
         """
-        usable = [
-            e
-            for e in self._by_service.get(service, ())
-            if not e.leaving
-            and e.name not in avoid
-            and (may_send is None or may_send(e.name, now))
-        ]
-        unpaused = [
-            e
-            for e in usable
-            if e.paused_until is None or e.paused_until <= now
+        granted: list[Endpoint] = []
+        paused: list[Endpoint] = []
+        for endpoint in self._by_service.get(service, ()):
+            if endpoint.name in avoid:
+                continue
+            obstacle = endpoint.permission(now).obstacle
+            if obstacle is None:
+                granted.append(endpoint)
+            elif obstacle is send_permission.Obstacle.PAUSE:
+                paused.append(endpoint)
+        return granted or paused
+
+    def next_permission(
+        self, service: str, now: datetime.datetime
+    ) -> send_permission.Permission | None:
+        """Return the permission of the endpoint that may be used first.
+
+        Return None if none will be used again or there are none.
+        """
+        permissions = [
+            e.permission(now) for e in self._by_service.get(service, ())
         ]
-        return unpaused or usable
+        return min(
+            (p for p in permissions if p.until is not None or not p.obstacle),
+            key=lambda p: p.until or now,
+            default=None,
+        )
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -261,16 +261,17 @@
 
     def _refuse_without_endpoint(self) -> None:
         service = self._call.service
-        wait = self._core.rate_limit_wait(service)
-        if wait is None:
+        permission = self._core.next_permission(service)
+        if permission is None:
             self._refuse(
                 Code.NO_ENDPOINT, f'no endpoint of {service} is available'
             )
             return
+        now = self._core.clock.now()
         self._refuse(
             Code.ENDPOINTS_AT_LIMIT,
             f'every endpoint of {service} is at its rate limit',
-            wait,
+            (permission.until or now) - now,
         )
 
     def _refuse(
--- a/src/aspenfold/_internal/gateway/rate_limits.py
+++ b/src/aspenfold/_internal/gateway/rate_limits.py
@@ -65,35 +65,25 @@
         self._zone = zone
         self._directory = endpoint_directory
         self._gateway_zones = {host: zone}
-        self._limits: dict[str, endpoint_rate_limit.EndpointRateLimit] = {}
+        self._limited: dict[str, directory.Endpoint] = {}
 
     def rate(self, endpoint: str) -> float | None:
         """Return the limit in requests a second, None if there is none."""
-        known = self._limits.get(endpoint)
+        known = self._get(endpoint)
         return None if known is None else known.rate
 
     def count(self) -> int:
         """Return how many endpoints state a limit."""
-        return sum(known.rate is not None for known in self._limits.values())
+        return sum(known.rate is not None for _, known in self._known())
 
     def may_send(self, endpoint: str, now: datetime.datetime) -> bool:
         """Return whether this gateway may use an endpoint now."""
-        known = self._limits.get(endpoint)
+        known = self._get(endpoint)
         return known is None or known.may_send(now)
 
-    def wait(
-        self, endpoint: str, now: datetime.datetime
-    ) -> datetime.timedelta:
-        """Return the time until an endpoint takes another request.
-
-        Another gateway may be the one that may send it.
-        """
-        known = self._limits.get(endpoint)
-        return datetime.timedelta(0) if known is None else known.wait(now)
-
     def record_sent(self, endpoint: str, now: datetime.datetime) -> None:
         """Count a request that is about to be sent."""
-        known = self._limits.get(endpoint)
+        known = self._get(endpoint)
         if known is not None:
             known.record_sent(now)
 
@@ -110,7 +100,7 @@
         ``rate`` is None if it states no limit; ``sent_at`` is when the
         request was sent.
         """
-        known = self._limits.get(endpoint.name)
+        known = endpoint.rate_limit
         if known is None:
             if rate is None:
                 return
@@ -133,7 +123,7 @@
             endpoint = self._directory.get(name)
             if endpoint is None:
                 continue
-            known = self._limits.get(name) or self._add(endpoint, now)
+            known = endpoint.rate_limit or self._add(endpoint, now)
             if report.age is not None:
                 statement = endpoint_rate_limit.Statement(
                     rate=report.rate, at=now - report.age
@@ -153,29 +143,43 @@
         if gateway_zones == self._gateway_zones:
             return
         self._gateway_zones = gateway_zones
-        for name, known in self._limits.items():
+        for name, known in self._known():
             known.set_senders(self._count_senders(name, known), now)
 
     def forget_removed(self) -> None:
         """Forget endpoints that are not in the directory any more."""
-        for name in list(self._limits):
-            if self._directory.get(name) is None:
-                del self._limits[name]
+        for name, endpoint in list(self._limited.items()):
+            if self._directory.get(name) is not endpoint:
+                del self._limited[name]
 
     def reports(self, now: datetime.datetime) -> dict[str, Report]:
         """Return what to tell peers, by endpoint."""
-        names = [
-            name
-            for name, known in self._limits.items()
+        recent = [
+            (name, known)
+            for name, known in self._known()
             if known.rate is not None
             or now - known.changed_at < LIFTED_REPORT_DURATION
         ]
-        names.sort(key=lambda name: self._limits[name].changed_at)
+        recent.sort(key=lambda one: one[1].changed_at)
         return {
-            name: self._report(self._limits[name], now)
-            for name in sorted(names[-MAX_REPORTS:])
+            name: self._report(known, now)
+            for name, known in sorted(recent[-MAX_REPORTS:])
         }
 
+    def _get(
+        self, endpoint: str
+    ) -> endpoint_rate_limit.EndpointRateLimit | None:
+        known = self._directory.get(endpoint)
+        return None if known is None else known.rate_limit
+
+    def _known(
+        self,
+    ) -> abc.Iterator[tuple[str, endpoint_rate_limit.EndpointRateLimit]]:
+        """Yield the names and limits of endpoints that stated one."""
+        for name, endpoint in self._limited.items():
+            if endpoint.rate_limit is not None:
+                yield name, endpoint.rate_limit
+
     def _report(
         self,
         known: endpoint_rate_limit.EndpointRateLimit,
@@ -192,7 +196,8 @@
         known = endpoint_rate_limit.EndpointRateLimit(
             zone=endpoint.zone, now=now
         )
-        self._limits[endpoint.name] = known
+        endpoint.rate_limit = known
+        self._limited[endpoint.name] = endpoint
         return known
 
     def _apply(
--- a/tests/lib/simulated_rate_limits.py
+++ b/tests/lib/simulated_rate_limits.py
@@ -101,6 +101,7 @@
 
     policy: Policy
     incarnation: str
+    endpoint_directory: directory.Directory
     told: object = None
     told_at: datetime.datetime = clock.EPOCH
 
@@ -124,10 +125,6 @@
         self._zones = {
             f'g-{i}': f'zone-{i % load.zones}' for i in range(load.gateways)
         }
-        self._directory = directory.Directory()
-        self._directory.update_listing(
-            listings.make_listing(ENDPOINT, zone='zone-0')
-        )
         self._pending: list[
             tuple[datetime.datetime, abc.Callable[[], None]]
         ] = []
@@ -148,10 +145,14 @@
     def restart(self, host: str) -> None:
         """Replace a gateway's process by one that knows nothing."""
         self._starts += 1
-        policy = self._factory(host, self._zones[host], self._directory)
+        known = directory.Directory()
+        known.update_listing(listings.make_listing(ENDPOINT, zone='zone-0'))
+        policy = self._factory(host, self._zones[host], known)
         policy.set_gateways(self._zones, self.now)
         self._gateways[host] = _Gateway(
-            policy=policy, incarnation=str(self._starts)
+            policy=policy,
+            incarnation=str(self._starts),
+            endpoint_directory=known,
         )
 
     def run(self, duration: datetime.timedelta) -> None:
@@ -164,7 +165,7 @@
             self._rng.shuffle(hosts)
             for host in hosts:
                 if self._rng.random() < self._load.per_s * (TICK / SECOND):
-                    self._send_if_allowed(self._gateways[host].policy, host)
+                    self._send_if_allowed(self._gateways[host], host)
                 self._tell_peers(host)
 
     def busiest_window(self, since: datetime.datetime) -> int:
@@ -184,13 +185,14 @@
         for _, action in sorted(due, key=lambda one: one[0]):
             action()
 
-    def _send_if_allowed(self, policy: Policy, host: str) -> None:
+    def _send_if_allowed(self, gateway: _Gateway, host: str) -> None:
+        policy = gateway.policy
         if not policy.may_send(ENDPOINT, self.now):
             return
         policy.record_sent(ENDPOINT, self.now)
         self.sent.append((self.now, host))
         sent_at = self.now
-        endpoint = self._directory.get(ENDPOINT)
+        endpoint = gateway.endpoint_directory.get(ENDPOINT)
         assert endpoint is not None
 
         def respond() -> None:
--- a/tests/unit/test_store_feeds.py
+++ b/tests/unit/test_store_feeds.py
@@ -11,6 +11,7 @@
 from aspenfold._internal.gateway import relay
 from aspenfold._internal.gateway import store_feeds
 from aspenfold._internal.kernel import clock
+from aspenfold.platform import endpoint_statements
 from tests.lib import listings
 
 SECOND = datetime.timedelta(seconds=1)
@@ -86,6 +87,7 @@
             endpoint_topic='endpoints',
             decode_listing=decode_listing,
             engine=None,  # type: ignore[arg-type]
+            statements=endpoint_statements.StatementDecoder(),
         )
         self.selection = reader_selection.ReaderSelection(
             host='g-2', zone='z', now=self.clock.now()
