Keep requests from endpoints that refused and asked for none

Callers saw half of their streams refused for nine seconds. An endpoint that refused with Retry-After: 3 got five more requests from the same gateway within these three seconds, and up to 17 a second in all.

Cause: nothing read the header. A refusal changed nothing at the endpoint itself, which ran nothing, looked idle, and so was chosen first.

A refusal (503, 429) with Retry-After, also one that does not say that it has not run, now keeps all of this gateway's requests away until then (EndpointBackoff, ENDPOINT_BACKOFF 510), as part of the one question that every choice asks. The latest end holds, at most five minutes. An attempt whose connection is still being made is withdrawn and goes elsewhere. Where all endpoints of a service ask for that, requests are refused at once with 1105 and the time until one may be used.

--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -41,6 +41,7 @@
     OVERLOADED = 1102
     NO_PLACE = 1103
     ENDPOINTS_AT_LIMIT = 1104
+    ENDPOINTS_BACKED_OFF = 1105
     NO_ENDPOINT = 1200
     DRAINING = 1201
     DEADLINE_PASSED = 1202
@@ -92,6 +93,8 @@
     '`Retry-After`',
     Code.ENDPOINTS_AT_LIMIT: 'every endpoint is at the rate limit that it '
     'states; retry after `Retry-After`',
+    Code.ENDPOINTS_BACKED_OFF: 'every endpoint asked for no requests for a '
+    'while; retry after `Retry-After`',
     Code.NO_ENDPOINT: 'no endpoint of the service accepts requests',
     Code.DRAINING: 'the entry or the endpoint is shutting down',
     Code.DEADLINE_PASSED: 'the deadline passed before the call started',
--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -6,12 +6,11 @@
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
-from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import outage
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import plan as plan_module
-from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.gateway import statement_recorder
 from aspenfold._internal.network import http1_client
 from aspenfold._internal.observability import events
 
@@ -72,6 +71,8 @@
             self._history.unreachable += 1
             return outcome.AttemptResult.NOT_SENT
         try:
+            if self._endpoint.is_withdrawn(self._core.clock.now()):
+                return outcome.AttemptResult.WITHDRAWN
             return await self._send_request(connection)
         finally:
             connection.close()
@@ -147,77 +148,27 @@
         """
         headers = list(head.headers)
         self._core.unknown_headers.check(self._endpoint.name, headers)
-        statement = self._core.statements.decode(headers)
-        self._log_invalid_headers(statement)
-        if statement.load is not None:
-            self._endpoint.update_load(statement.load)
-        if head.status_code == 421:
+        statement = self._core.decode_statement(headers)
+        self._core.statement_recorder.record(
+            self._endpoint,
+            statement,
+            status=head.status_code,
+            attempt_id=self._call.id,
+            sent_at=sent_at,
+            now=self._core.clock.now(),
+        )
+        if head.status_code == statement_recorder.MISDIRECTED_STATUS:
             return outcome.AttemptResult.REPLACED
         if statement.not_run:
-            self._log_refusal(head.status_code, statement)
-            self._record_rate_limit(statement, sent_at, may_lift=False)
+            statement_recorder.log_refusal(
+                self._call.id, self._endpoint, statement, head.status_code
+            )
             return self._refusal_result()
         if statement.attempt_id != self._call.id:
             # The response belongs to another request.
             return outcome.AttemptResult.LOST
-        self._record_rate_limit(
-            statement, sent_at, may_lift=head.status_code < 500
-        )
         return outcome.AttemptResult.ANSWERED
 
-    def _log_invalid_headers(
-        self, statement: endpoint_statement.EndpointStatement
-    ) -> None:
-        for header in statement.invalid:
-            self._core.metrics.increment('invalid_headers', header.name)
-            events.emit(
-                events.Event.HEADER_INVALID,
-                endpoint=self._endpoint.name,
-                name=header.name,
-                error=header.error,
-            )
-
-    def _log_refusal(
-        self, status: int, statement: endpoint_statement.EndpointStatement
-    ) -> None:
-        load, retry_after_ms = statement.load, None
-        if statement.retry_after is not None:
-            retry_after_ms = clock_module.to_ms(statement.retry_after)
-        events.emit(
-            events.Event.ATTEMPT_DECLINED,
-            call=self._call.id,
-            endpoint=self._endpoint.name,
-            status=status,
-            retry_after_ms=retry_after_ms,
-            leaving=statement.leaving,
-            at_fault=statement.at_fault,
-            running=None if load is None else load.running,
-            waiting=None if load is None else load.waiting,
-            capacity=None if load is None else load.capacity,
-        )
-
-    def _record_rate_limit(
-        self,
-        statement: endpoint_statement.EndpointStatement,
-        sent_at: datetime.datetime,
-        *,
-        may_lift: bool,
-    ) -> None:
-        """Record the rate limit that a response states.
-
-        Without one, the limit has ended if ``may_lift``.
-        """
-        if statement.rate_limit_invalid:
-            return
-        if statement.rate_limit is None and not may_lift:
-            return
-        self._core.rate_limits.record_statement(
-            self._endpoint,
-            statement.rate_limit,
-            sent_at=sent_at,
-            now=self._core.clock.now(),
-        )
-
     def _refusal_result(self) -> outcome.AttemptResult:
         """Return the result of a refusal.
 
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -16,6 +16,7 @@
 from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.gateway import settings
+from aspenfold._internal.gateway import statement_recorder
 from aspenfold._internal.gateway import unknown_headers
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.kernel import registry
@@ -52,7 +53,7 @@
     ) -> None:
         self.cfg = cfg
         self.header_names = header_names
-        self.statements = statements
+        self.decode_statement = statements.decode
         self.clock = clock
         self.rng = rng
         self.forwarding = forwarding.Forwarding(header_names=header_names)
@@ -66,6 +67,11 @@
             endpoint_directory=self.directory,
         )
         self.metrics = metrics_module.Metrics()
+        self.statement_recorder = statement_recorder.StatementRecorder(
+            endpoint_directory=self.directory,
+            limits=self.rate_limits,
+            counters=self.metrics,
+        )
         self.plan_index: plan_index_module.PlanIndex | None = None
         self.plan_applied_at: datetime.datetime | None = None
         self.draining = False
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -9,8 +9,10 @@
 import dataclasses
 import datetime
 
+from aspenfold._internal.gateway import endpoint_backoff
 from aspenfold._internal.gateway import endpoint_rate_limit
 from aspenfold._internal.gateway import send_permission
+from aspenfold._internal.kernel import clock
 from aspenfold._internal.observability import events
 
 UNREACHABLE_PAUSE = datetime.timedelta(milliseconds=800)
@@ -77,6 +79,9 @@
     slowdown: float = 1.0
     group: str = ''
     rate_limit: endpoint_rate_limit.EndpointRateLimit | None = None
+    backoff: endpoint_backoff.EndpointBackoff = dataclasses.field(
+        default_factory=endpoint_backoff.EndpointBackoff
+    )
 
     @property
     def name(self) -> str:
@@ -110,7 +115,11 @@
             return send_permission.Permission(
                 obstacle=send_permission.Obstacle.LEAVING
             )
-        limit = self.rate_limit
+        limit, backoff = self.rate_limit, self.backoff.wait(now)
+        if backoff:
+            return send_permission.Permission(
+                obstacle=send_permission.Obstacle.BACKOFF, until=now + backoff
+            )
         if limit is not None and not limit.may_send(now):
             return send_permission.Permission(
                 obstacle=send_permission.Obstacle.RATE_LIMIT,
@@ -123,6 +132,10 @@
             )
         return send_permission.GRANTED
 
+    def is_withdrawn(self, now: datetime.datetime) -> bool:
+        """Return whether a request that was chosen for it must not be sent."""
+        return self.leaving or bool(self.backoff.wait(now))
+
     def update_load(self, load: Load) -> None:
         """Store the load that the endpoint reported."""
         self.load = load
@@ -251,6 +264,20 @@
             pause = min(MAX_FAILURE_PAUSE, FAILURE_PAUSE * 2 ** min(excess, 4))
             self._pause(endpoint, now + pause, 'failing')
 
+    def record_backoff(
+        self,
+        endpoint: Endpoint,
+        retry_after: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> None:
+        """Send an endpoint that refused no requests for ``retry_after``."""
+        if endpoint.backoff.record_refusal(retry_after, now):
+            events.emit(
+                events.Event.ENDPOINT_BACKOFF,
+                endpoint=endpoint.name,
+                retry_after_ms=clock.to_ms(retry_after),
+            )
+
     def record_success(self, endpoint: Endpoint) -> None:
         """Reset the count of failures after a complete response."""
         endpoint.failures = 0
@@ -299,11 +326,13 @@
 
         Return None if none will be used again or there are none.
         """
+        if self.routable(service, now):
+            return send_permission.GRANTED
         permissions = [
             e.permission(now) for e in self._by_service.get(service, ())
         ]
         return min(
-            (p for p in permissions if p.until is not None or not p.obstacle),
+            (p for p in permissions if p.until is not None),
             key=lambda p: p.until or now,
             default=None,
         )
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -13,6 +13,7 @@
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index as plan_index_module
 from aspenfold._internal.gateway import refusal
+from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import http1_server
 from aspenfold._internal.observability import events
@@ -25,6 +26,7 @@
 """Statuses that promise a caller that its request has not run."""
 
 Code = exceptions.Code
+GRANTED = send_permission.GRANTED
 
 
 class Exchange:
@@ -148,9 +150,13 @@
         ):
             # Another group of the service is available.
             result = outcome.AttemptResult.DECLINED
-        # Only requests that were already sent need the retry budget.
-        not_sent_yet = history.attempts_sent == 0
-        has_budget = not_sent_yet or budget.available >= 1
+        # Only requests that were already sent need the retry budget, and
+        # what was taken for a withdrawn attempt serves for the next.
+        is_free = (
+            history.attempts_sent == 0
+            or result is outcome.AttemptResult.WITHDRAWN
+        )
+        has_budget = is_free or budget.available >= 1
         step = outcome.next_step(history, result, has_budget=has_budget)
         if (
             step is outcome.NextStep.REFUSE
@@ -167,7 +173,7 @@
                 step = outcome.NextStep.RETRY
         if (
             step is outcome.NextStep.RETRY
-            and not not_sent_yet
+            and not is_free
             and not budget.take()
         ):
             # Other requests used up the budget during the wait.
@@ -212,15 +218,21 @@
             case outcome.NextStep.DELIVER:
                 self._deliver(history)
             case outcome.NextStep.REFUSE:
-                code = Code.OVERLOADED
-                if result is outcome.AttemptResult.GROUP_UNAVAILABLE:
-                    code = Code.GROUP_DOWN
-                self._refuse(code, f'{self.endpoint}: {result.value}')
+                self._refuse_after_attempt(result)
             case outcome.NextStep.REPORT_UNKNOWN:
                 self._send_unknown_outcome(result)
             case outcome.NextStep.ABORT:
                 self._abort_stream(result)
 
+    def _refuse_after_attempt(self, result: outcome.AttemptResult) -> None:
+        detail = f'{self.endpoint}: {result.value}'
+        if result is outcome.AttemptResult.GROUP_UNAVAILABLE:
+            self._refuse(Code.GROUP_DOWN, detail)
+        elif self._core.next_permission(self._call.service) == GRANTED:
+            self._refuse(Code.OVERLOADED, detail)
+        else:
+            self._refuse_without_endpoint()
+
     def _deliver(self, history: outcome.History) -> None:
         status = 200
         if not history.head_delivered:
@@ -260,19 +272,20 @@
             self._refuse_without_endpoint()
 
     def _refuse_without_endpoint(self) -> None:
+        """Refuse a request that no endpoint may get now."""
         service = self._call.service
         permission = self._core.next_permission(service)
-        if permission is None:
+        if permission is None or permission.until is None:
             self._refuse(
                 Code.NO_ENDPOINT, f'no endpoint of {service} is available'
             )
             return
-        now = self._core.clock.now()
-        self._refuse(
-            Code.ENDPOINTS_AT_LIMIT,
-            f'every endpoint of {service} is at its rate limit',
-            (permission.until or now) - now,
-        )
+        code, reason = Code.ENDPOINTS_AT_LIMIT, 'is at its rate limit'
+        if permission.obstacle is send_permission.Obstacle.BACKOFF:
+            code = Code.ENDPOINTS_BACKED_OFF
+            reason = 'asked for no requests for a while'
+        delay = permission.until - self._core.clock.now()
+        self._refuse(code, f'every endpoint of {service} {reason}', delay)
 
     def _refuse(
         self,
--- a/src/aspenfold/_internal/gateway/outcome.py
+++ b/src/aspenfold/_internal/gateway/outcome.py
@@ -15,6 +15,9 @@
     NOT_SENT = 'not-sent'
     """No connection was made, so the request did not run."""
 
+    WITHDRAWN = 'withdrawn'
+    """The endpoint asked for no more requests before this one was sent."""
+
     DECLINED = 'declined'
     """The endpoint stated that it did not run the request."""
 
@@ -43,6 +46,7 @@
 NOT_RUN = frozenset(
     {
         AttemptResult.NOT_SENT,
+        AttemptResult.WITHDRAWN,
         AttemptResult.DECLINED,
         AttemptResult.GROUP_UNAVAILABLE,
         AttemptResult.REPLACED,
--- a/src/aspenfold/_internal/gateway/send_permission.py
+++ b/src/aspenfold/_internal/gateway/send_permission.py
@@ -11,6 +11,9 @@
     LEAVING = 'leaving'
     """The endpoint will stop soon."""
 
+    BACKOFF = 'backoff'
+    """The endpoint refused and asked for no requests for a while."""
+
     RATE_LIMIT = 'rate-limit'
     """The endpoint is at the rate limit that it stated."""
 
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -50,6 +50,7 @@
     HEADER_UNKNOWN = 507
     HEADER_INVALID = 508
     PEER_UPDATE_CUT = 509
+    ENDPOINT_BACKOFF = 510
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -107,6 +108,8 @@
     Event.HEADER_UNKNOWN: 'an endpoint sent a header that is not known here',
     Event.HEADER_INVALID: 'an endpoint sent a header with an invalid value',
     Event.PEER_UPDATE_CUT: 'an update to peers was too large for a datagram',
+    Event.ENDPOINT_BACKOFF: 'an endpoint refused and asked for no requests '
+    'for a while',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/tests/functional/test_gateway_statements.py
+++ b/tests/functional/test_gateway_statements.py
@@ -4,7 +4,9 @@
 import time
 
 from aspenfold_standins import platform_worker as workers
+import pytest
 
+from aspenfold._internal.network import http1_client
 from tests.lib import gateway_rig as rigs
 from tests.lib import retry_after_rule
 
@@ -82,3 +84,77 @@
             assert not late
 
     asyncio.run(run())
+
+
+def test_a_service_whose_endpoints_all_backed_off_refuses_at_once() -> None:
+    """The caller learns when one may be used; nothing waits or is sent."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            resting = await rig.add_worker('w-1', workers.at_capacity)
+            resting.retry_after = 1.5
+            await rig.wait_until_ready()
+            for path in ('/unsafe/', '/song/'):
+                response = await rig.request(path)
+                assert response.status == 503
+                assert response.body.startswith(b'[1105]')
+                assert 1.0 < float(response.headers['retry-after']) <= 1.5
+            resting.script = workers.complete
+            response = await rig.request('/once/', **rigs.deadline_header(2))
+            assert 0.5 < float(response.headers['retry-after']) < 0.67
+            assert rigs.count_requests(resting, '/unsafe/') == 1
+            assert rigs.count_requests(resting, '/song/') == 0
+            await asyncio.sleep(resting.retry_after)
+            assert (await rig.request('/once/')).status == 200
+
+    asyncio.run(run())
+
+
+def test_a_503_that_has_run_may_ask_for_no_requests_too() -> None:
+    """What it says of itself holds whatever became of the request."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            resting = await rig.add_worker('w-1', workers.unmarked_503)
+            resting.retry_after = 1.5
+            await rig.wait_until_ready()
+            assert (await rig.request('/unsafe/')).status == 502
+            assert (await rig.request('/unsafe/')).status == 503
+            assert resting.executions.total() == 1
+
+    asyncio.run(run())
+
+
+def test_a_request_that_is_still_connecting_goes_elsewhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was chosen before the endpoint asked for no requests."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            resting = await rig.add_worker('w-1', workers.at_capacity)
+            resting.retry_after = 2.0
+            await rig.wait_until_ready()
+            connect = http1_client.connect
+            connected = asyncio.Event()
+            delays = [0.0, 1.0]
+
+            async def connect_slowly(
+                host: str, port: int, timeout_s: float
+            ) -> http1_client.Connection:
+                if port == resting.port and delays.pop(0):
+                    await connected.wait()
+                return await connect(host, port, timeout_s)
+
+            monkeypatch.setattr(http1_client, 'connect', connect_slowly)
+            first = asyncio.ensure_future(rig.request('/once/'))
+            second = asyncio.ensure_future(rig.request('/once/'))
+            assert (await first).status == 503
+            other = await rig.add_worker('w-2')
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 2)
+            connected.set()
+            assert (await second).status == 200
+            assert rigs.count_requests(resting, '/once/') == 1
+            assert rigs.count_requests(other, '/once/') == 1
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/unit/test_endpoint_statements.py
@@ -0,0 +1,184 @@
+"""What endpoints state, and what becomes of it at one gateway."""
+
+import datetime
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_statement
+from aspenfold._internal.gateway import rate_limits
+from aspenfold._internal.gateway import send_permission
+from aspenfold._internal.gateway import statement_recorder
+from aspenfold._internal.kernel import clock
+from aspenfold._internal.observability import events
+from aspenfold._internal.observability import metrics
+from aspenfold.platform import endpoint_statements
+from tests.lib import listings
+
+SECOND = datetime.timedelta(seconds=1)
+BACKOFF = send_permission.Obstacle.BACKOFF
+ATTEMPT = 'a-1'
+
+
+def decode(
+    headers: dict[bytes, bytes],
+) -> endpoint_statement.EndpointStatement:
+    """Return what these headers state."""
+    decoder = endpoint_statements.StatementDecoder()
+    return decoder.decode(list(headers.items()))
+
+
+class Gateway:
+    """What one gateway knows of the endpoint ``w-1``, at a driven time."""
+
+    def __init__(self) -> None:
+        self.now = clock.EPOCH
+        self.directory = directory.Directory()
+        self.directory.update_listing(listings.make_listing('w-1'))
+        self.metrics = metrics.Metrics()
+        self.recorder = statement_recorder.StatementRecorder(
+            endpoint_directory=self.directory,
+            limits=rate_limits.RateLimits(
+                host='g', zone='z', endpoint_directory=self.directory
+            ),
+            counters=self.metrics,
+        )
+
+    @property
+    def endpoint(self) -> directory.Endpoint:
+        """The endpoint as it is known now."""
+        endpoint = self.directory.get('w-1')
+        assert endpoint is not None
+        return endpoint
+
+    def record(
+        self,
+        headers: dict[bytes, bytes],
+        *,
+        status: int = 503,
+        endpoint: directory.Endpoint | None = None,
+    ) -> None:
+        """Record a response with these headers."""
+        self.recorder.record(
+            endpoint or self.endpoint,
+            decode(headers),
+            status=status,
+            attempt_id=ATTEMPT,
+            sent_at=self.now,
+            now=self.now,
+        )
+
+    def wait(self) -> datetime.timedelta | None:
+        """Return the time until a request may be sent, None for never."""
+        permission = self.endpoint.permission(self.now)
+        if permission.obstacle is None:
+            return datetime.timedelta(0)
+        return (
+            None if permission.until is None else permission.until - self.now
+        )
+
+
+def refusal(retry_after: str) -> dict[bytes, bytes]:
+    """Return the headers of a refusal that asks for this many seconds."""
+    return {
+        b'x-aspenfold-not-executed': b'1',
+        b'retry-after': retry_after.encode(),
+    }
+
+
+@pytest.mark.parametrize(
+    ('value', 'seconds'),
+    [('3', 3.0), ('0.25', 0.25), ('0', 0.0), ('1e9', 300.0), ('86400', 300.0)],
+)
+def test_a_refusal_keeps_requests_away(value: str, seconds: float) -> None:
+    """Absurd times are cut, so that the endpoint is tried again one day."""
+    gateway = Gateway()
+    gateway.record(refusal(value))
+    assert gateway.wait() == seconds * SECOND
+
+
+@pytest.mark.parametrize(
+    'value',
+    ['-1', 'soon', 'nan', 'inf', '1 2', 'Wed, 21 Oct 2026 07:28:00 GMT'],
+)
+def test_an_invalid_time_is_logged_and_counted(value: str) -> None:
+    """It keeps nothing away, and is not passed over in silence."""
+    gateway = Gateway()
+    with mock.patch.object(events, 'emit', autospec=True) as emit:
+        gateway.record(refusal(value))
+    assert gateway.wait() == 0 * SECOND
+    assert [call.args for call in emit.call_args_list] == [
+        (events.Event.HEADER_INVALID,)
+    ]
+    assert b'invalid_headers_total{label="retry-after"} 1.0' in (
+        gateway.metrics.text()
+    )
+
+
+def test_a_shorter_time_does_not_end_a_longer_one() -> None:
+    """Each refusal asks for itself."""
+    gateway = Gateway()
+    gateway.record(refusal('5'))
+    gateway.now += SECOND
+    gateway.record(refusal('2'))
+    assert gateway.wait() == 4 * SECOND
+    gateway.record(refusal('6'))
+    assert gateway.wait() == 6 * SECOND
+    gateway.record({b'x-aspenfold-not-executed': b'1'})
+    assert gateway.wait() == 6 * SECOND
+
+
+@pytest.mark.parametrize(
+    ('status', 'seconds'),
+    [(503, 3), (429, 3), (200, 0), (301, 0), (421, 0), (500, 0)],
+)
+def test_only_a_refusal_speaks_of_the_endpoint(
+    status: int, seconds: int
+) -> None:
+    """Others are for the caller, or of another endpoint at the address."""
+    gateway = Gateway()
+    gateway.record({b'retry-after': b'3'}, status=status)
+    assert gateway.wait() == seconds * SECOND
+
+
+def test_a_removed_endpoint_states_nothing() -> None:
+    """Its late response must not speak for one that was listed since."""
+    gateway = Gateway()
+    removed = gateway.endpoint
+    gateway.directory.remove_listing('w-1', gateway.now, store_available=True)
+    gateway.directory.update_listing(listings.make_listing('w-1'))
+    gateway.record({**refusal('3'), b'server-limit': b'1'}, endpoint=removed)
+    assert gateway.wait() == 0 * SECOND
+    assert gateway.endpoint.rate_limit is None
+
+
+@hypothesis.given(
+    refusals=st.lists(
+        st.tuples(st.integers(0, 5000), st.integers(0, 9000)), max_size=12
+    )
+)
+def test_no_refusal_is_forgotten(refusals: list[tuple[int, int]]) -> None:
+    """Requests stay away as long as any refusal asked for."""
+    gateway = Gateway()
+    ends = [gateway.now]
+    for pause_ms, asked_ms in refusals:
+        gateway.now += pause_ms * clock.MILLISECOND
+        gateway.record(refusal(str(asked_ms / 1000)))
+        ends.append(gateway.now + asked_ms * clock.MILLISECOND)
+        assert gateway.wait() == max(max(ends) - gateway.now, 0 * SECOND)
+
+
+def test_a_backed_off_endpoint_is_no_last_resort() -> None:
+    """Other than a paused one, of which that is only a guess."""
+    gateway = Gateway()
+    gateway.directory.record_unreachable(gateway.endpoint, gateway.now)
+    assert gateway.directory.routable('s', gateway.now)
+    gateway.record(refusal('2'))
+    assert not gateway.directory.routable('s', gateway.now)
+    permission = gateway.directory.next_permission('s', gateway.now)
+    assert permission == send_permission.Permission(
+        obstacle=BACKOFF, until=gateway.now + 2 * SECOND
+    )
