Do not take a rank's own refusal for an outage of its group

Cause: a rank that refuses with free slots was taken to be part of a group that is away, a guess from before endpoints' blame (At-Server) was read.

Only a refusal that blames another rank marks the group now. Any other is tried at another rank, and one by an endpoint that reports free slots pauses it, by the rule of failing endpoints from the first on, since it would be the first choice for the next request. The stand-in for an unavailable group names another rank, as the platform's ranks do.

test_a_rank_that_refuses_alone_is_no_outage_of_its_group failed before, with and without Retry-After (statuses 200 and 503).

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -6,6 +6,7 @@
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import outage
 from aspenfold._internal.gateway import outcome
@@ -163,22 +164,21 @@
             statement_recorder.log_refusal(
                 self._call.id, self._endpoint, statement, head.status_code
             )
-            return self._refusal_result()
+            return self._refusal_result(statement)
         if statement.attempt_id != self._call.id:
             # The response belongs to another request.
             return outcome.AttemptResult.LOST
         return outcome.AttemptResult.ANSWERED
 
-    def _refusal_result(self) -> outcome.AttemptResult:
+    def _refusal_result(
+        self, statement: endpoint_statement.EndpointStatement
+    ) -> outcome.AttemptResult:
         """Return the result of a refusal.
 
-        A rank that refuses although it has free slots is part of an
-        unavailable group.
+        A rank blames another one if its group is unavailable.
         """
-        load = self._endpoint.load
-        if load is None or not self._core.has_group(self._call.service):
-            return outcome.AttemptResult.DECLINED
-        if load.running + load.waiting < load.capacity:
+        is_rank = self._core.has_group(self._call.service)
+        if is_rank and statement.blames_other(self._endpoint.name):
             return outcome.AttemptResult.GROUP_UNAVAILABLE
         return outcome.AttemptResult.DECLINED
 
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -53,6 +53,11 @@
     waiting: int
     capacity: int
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether one more request would start immediately."""
+        return self.running + self.waiting < self.capacity
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Endpoint:
@@ -261,8 +266,21 @@
         endpoint.failures += 1
         excess = endpoint.failures - FAILURES_BEFORE_PAUSE
         if excess >= 0:
-            pause = min(MAX_FAILURE_PAUSE, FAILURE_PAUSE * 2 ** min(excess, 4))
-            self._pause(endpoint, now + pause, 'failing')
+            self._pause(endpoint, now + _failure_pause(excess), 'failing')
+
+    def record_refusal(
+        self, endpoint: Endpoint, load: Load | None, now: datetime.datetime
+    ) -> None:
+        """Pause an endpoint that refused a request although it is idle.
+
+        As it runs nothing, it would be the first choice for the next one.
+        ``load`` is what it reported with the refusal.
+        """
+        if load is None or not load.has_free_slot:
+            return
+        endpoint.failures += 1
+        pause = _failure_pause(endpoint.failures - 1)
+        self._pause(endpoint, now + pause, 'refusing')
 
     def record_backoff(
         self,
@@ -336,3 +354,8 @@
             key=lambda p: p.until or now,
             default=None,
         )
+
+
+def _failure_pause(previous: int) -> datetime.timedelta:
+    """Return the pause of an endpoint that was paused ``previous`` times."""
+    return min(MAX_FAILURE_PAUSE, FAILURE_PAUSE * 2 ** min(previous, 4))
--- a/src/aspenfold/_internal/gateway/endpoint_statement.py
+++ b/src/aspenfold/_internal/gateway/endpoint_statement.py
@@ -42,6 +42,10 @@
     at_fault: str = ''
     invalid: tuple[InvalidHeader, ...] = ()
 
+    def blames_other(self, endpoint: str) -> bool:
+        """Return whether another one than ``endpoint`` is at fault."""
+        return self.at_fault not in ('', endpoint)
+
 
 class Decoder(typing.Protocol):
     """Decodes the headers of the platform's endpoints.
--- a/src/aspenfold/_internal/gateway/statement_recorder.py
+++ b/src/aspenfold/_internal/gateway/statement_recorder.py
@@ -66,6 +66,8 @@
             self._directory.record_backoff(
                 endpoint, statement.retry_after, now
             )
+        elif statement.not_run and not statement.blames_other(endpoint.name):
+            self._directory.record_refusal(endpoint, statement.load, now)
 
     def _record_rate_limit(
         self,
--- a/standins/aspenfold_standins/platform_worker.py
+++ b/standins/aspenfold_standins/platform_worker.py
@@ -17,6 +17,7 @@
 RATE_LIMIT_HEADER = 'Server-Limit'
 LEAVING_HEADER = 'Server-Leaving'
 RETRY_AFTER_HEADER = 'Retry-After'
+AT_FAULT_HEADER = 'At-Server'
 
 Script = abc.Callable[['Worker', http11.Exchange], abc.Awaitable[None]]
 
@@ -159,9 +160,10 @@
 
 
 async def group_unavailable(worker: Worker, exchange: http11.Exchange) -> None:
-    """Refuse with all slots free: the group is unavailable."""
+    """Refuse since another rank of the group is away."""
     headers = worker.response_headers(exchange)
     headers['X-Aspenfold-Not-Executed'] = '1'
+    headers[AT_FAULT_HEADER] = 'another-rank'
     headers['X-Aspenfold-Instance-Load'] = f'0,0,{worker.slots}'
     await worker.respond_503(exchange, headers)
 
--- a/tests/functional/test_gateway_statements.py
+++ b/tests/functional/test_gateway_statements.py
@@ -61,6 +61,30 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize('retry_after', [None, 1.0])
+def test_a_rank_that_refuses_alone_is_no_outage_of_its_group(
+    retry_after: float | None,
+) -> None:
+    """Its requests are served by the other ranks, and no others wait."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            refusing = await rig.add_worker(
+                'w-1', workers.refuse_while_idle, 'model'
+            )
+            refusing.retry_after = retry_after
+            for name in ('w-2', 'w-3'):
+                await rig.add_worker(name, workers.stream_events, 'model')
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 3)
+            await rig.wait_until_ready()
+            responses = await call_for(rig, '/model/', 1.5)
+            assert {r.status for r in responses} == {200}
+            assert 1 <= rigs.count_requests(refusing, '/model/') <= 3
+            assert rig.gateway.outage('model').ended_at is None
+
+    asyncio.run(run())
+
+
 def test_an_endpoint_that_states_its_leaving_gets_no_more_requests() -> None:
     """It may have stopped by then; the store may not say so yet."""
 
