Send nothing more to an endpoint that states its leaving

Cause: as with Retry-After, nothing read the header; that an endpoint leaves was only believed of its entry in the list.

Any response but a 421, which another endpoint sends, now takes the endpoint out of use (ENDPOINT_LEAVING, 511): also a refusal or a failure, also the last endpoint of a service, also while the store is away, and for attempts whose connection is still being made. Streams in progress go on.

--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -1,8 +1,8 @@
 """State of the endpoints and the choice of those that may get requests.
 
 The state comes from the platform's list, which lags, and from responses
-of the endpoints.  An endpoint that was seen as leaving stays so, because
-the name of an incarnation is never reused.
+of the endpoints.  An endpoint that was seen as leaving stays so.  Its entry
+may be removed and come back, so that what is known of it is kept.
 """
 
 from collections import abc
@@ -31,6 +31,9 @@
 """Time after the last failed store call in which endpoints whose entries
 expired register again."""
 
+MAX_REMOVED = 1024
+"""Removed endpoints that are remembered, the latest ones."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Listing:
@@ -153,6 +156,7 @@
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
+        self._removed: dict[str, Endpoint] = {}
 
     def __len__(self) -> int:
         return len(self._endpoints)
@@ -192,9 +196,7 @@
         """
         known = self._endpoints.get(listing.name)
         if known is None:
-            known = Endpoint(listing=listing, leaving=listing.draining)
-            self._endpoints[listing.name] = known
-            self._index()
+            self._add(listing)
             return True
         known.missing_since = None
         changed = listing.draining and not known.leaving
@@ -239,9 +241,27 @@
             self._forget(name)
         return missing
 
+    def _add(self, listing: Listing) -> None:
+        """Add an endpoint, with what was known of it before its removal."""
+        endpoint = self._removed.pop(listing.name, None)
+        if endpoint is None:
+            endpoint = Endpoint(listing=listing)
+        endpoint.listing = listing
+        endpoint.leaving = endpoint.leaving or listing.draining
+        endpoint.missing_since = None
+        # Updates of peers were not applied meanwhile.
+        endpoint.peer_in_flight = 0
+        self._endpoints[listing.name] = endpoint
+        self._index()
+
     def _forget(self, name: str) -> None:
-        if self._endpoints.pop(name, None) is not None:
-            self._index()
+        endpoint = self._endpoints.pop(name, None)
+        if endpoint is None:
+            return
+        self._index()
+        self._removed[name] = endpoint
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
 
     def _index(self) -> None:
         index: dict[str, list[Endpoint]] = {}
@@ -296,6 +316,13 @@
                 retry_after_ms=clock.to_ms(retry_after),
             )
 
+    def record_leaving(self, endpoint: Endpoint) -> None:
+        """Send no more requests to an endpoint that will stop soon."""
+        if endpoint.leaving:
+            return
+        endpoint.leaving = True
+        events.emit(events.Event.ENDPOINT_LEAVING, endpoint=endpoint.name)
+
     def record_success(self, endpoint: Endpoint) -> None:
         """Reset the count of failures after a complete response."""
         endpoint.failures = 0
--- a/src/aspenfold/_internal/gateway/rate_limits.py
+++ b/src/aspenfold/_internal/gateway/rate_limits.py
@@ -100,6 +100,9 @@
         ``rate`` is None if it states no limit; ``sent_at`` is when the
         request was sent.
         """
+        if self._directory.get(endpoint.name) is not endpoint:
+            # The endpoint is gone or was started anew since.
+            return
         known = endpoint.rate_limit
         if known is None:
             if rate is None:
--- a/src/aspenfold/_internal/gateway/statement_recorder.py
+++ b/src/aspenfold/_internal/gateway/statement_recorder.py
@@ -47,11 +47,10 @@
         self._log_invalid(endpoint, statement)
         if status == MISDIRECTED_STATUS:
             return
-        if self._directory.get(endpoint.name) is not endpoint:
-            # The endpoint is gone or was started anew since.
-            return
         if statement.load is not None:
             endpoint.update_load(statement.load)
+        if statement.leaving:
+            self._directory.record_leaving(endpoint)
         answers_attempt = (
             not statement.not_run and statement.attempt_id == attempt_id
         )
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -51,6 +51,7 @@
     HEADER_INVALID = 508
     PEER_UPDATE_CUT = 509
     ENDPOINT_BACKOFF = 510
+    ENDPOINT_LEAVING = 511
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -110,6 +111,7 @@
     Event.PEER_UPDATE_CUT: 'an update to peers was too large for a datagram',
     Event.ENDPOINT_BACKOFF: 'an endpoint refused and asked for no requests '
     'for a while',
+    Event.ENDPOINT_LEAVING: 'an endpoint stated that it will stop soon',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/tests/functional/test_gateway_statements.py
+++ b/tests/functional/test_gateway_statements.py
@@ -110,6 +110,53 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    'script',
+    [workers.at_capacity, workers.server_error, workers.unmarked_503],
+)
+def test_a_refusal_or_failure_may_state_the_leaving(
+    script: workers.Script,
+) -> None:
+    """All responses say so; the last endpoint of a service is no exception."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            leaving = await rig.add_worker('w-1', script)
+            leaving.leaving = True
+            await rig.wait_until_ready()
+            assert (await rig.request('/once/')).status >= 500
+            rig.store.fault = rig.store.fault.RESET
+            for _ in range(3):
+                response = await rig.request('/safe/')
+                assert response.status == 503
+                assert response.body.startswith(b'[1200]')
+            assert len(leaving.requests) == 1
+
+    asyncio.run(run())
+
+
+def test_a_stream_goes_on_at_an_endpoint_that_leaves() -> None:
+    """If it breaks, it is resumed elsewhere; its end is no reason to wait."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            leaving = await rig.add_worker('w-1', workers.stream_then_reset)
+            leaving.leaving = True
+            await rig.wait_until_ready()
+            other = await rig.add_worker('w-2', workers.stream_events)
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 2)
+            async with asyncio.timeout(rigs.TIMEOUT_S):
+                while not leaving.requests:
+                    response = await rig.request('/stream/')
+            assert response.status == 200
+            assert response.complete
+            assert response.body.count(b'id: ') == leaving.event_count
+            assert len(leaving.requests) == 1
+            assert other.requests
+
+    asyncio.run(run())
+
+
 def test_a_service_whose_endpoints_all_backed_off_refuses_at_once() -> None:
     """The caller learns when one may be used; nothing waits or is sent."""
 
