Forget what an endpoint stated when it is started anew

A worker may start again under the name that it had, and then knows nothing of before; its entry says when it was born. What it had stated, its leaving above all, would have kept it out of use for good, and its earlier process's late responses would have spoken for the new one.

An entry with a later start replaces what is known of the endpoint, also if its entry was gone meanwhile. Attempts keep the start that they were made at, so what their responses state reaches no other. Entries of an earlier start are ignored.

test_a_new_start_of_an_endpoint_has_stated_nothing fails without the field.

--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -37,7 +37,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Listing:
-    """An endpoint's entry in the platform's list."""
+    """An endpoint's entry in the platform's list.
+
+    ``started_ms`` tells the starts of one endpoint apart: it is the Unix
+    time of this one in milliseconds by the endpoint's clock, None if that is
+    not known.
+    """
 
     name: str
     service: str
@@ -46,6 +51,13 @@
     zone: str
     capacity: int
     draining: bool
+    started_ms: int | None = None
+
+    def is_later_start(self, other: 'Listing') -> bool:
+        """Return whether the endpoint was started anew since ``other``."""
+        if self.started_ms is None or other.started_ms is None:
+            return False
+        return self.started_ms > other.started_ms
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,7 +76,7 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Endpoint:
-    """One incarnation of an endpoint and its load.
+    """One start of an endpoint, and what is known of it.
 
     ``in_flight`` counts this gateway's requests, ``peer_in_flight`` those
     reported by other gateways; ``load`` is what the endpoint reports, and
@@ -192,12 +204,16 @@
     def update_listing(self, listing: Listing) -> bool:
         """Apply an entry of the list.
 
-        Return whether the endpoint is new or has started to drain.
+        Return whether the endpoint is new, was started anew or has started
+        to drain.  Nothing is known of a new start, and entries of an earlier
+        one are ignored.
         """
         known = self._endpoints.get(listing.name)
-        if known is None:
+        if known is None or listing.is_later_start(known.listing):
             self._add(listing)
             return True
+        if known.listing.is_later_start(listing):
+            return False
         known.missing_since = None
         changed = listing.draining and not known.leaving
         known.leaving = known.leaving or listing.draining
@@ -244,7 +260,7 @@
     def _add(self, listing: Listing) -> None:
         """Add an endpoint, with what was known of it before its removal."""
         endpoint = self._removed.pop(listing.name, None)
-        if endpoint is None:
+        if endpoint is None or listing.is_later_start(endpoint.listing):
             endpoint = Endpoint(listing=listing)
         endpoint.listing = listing
         endpoint.leaving = endpoint.leaving or listing.draining
--- a/src/aspenfold/platform/endpoint_records.py
+++ b/src/aspenfold/platform/endpoint_records.py
@@ -21,6 +21,8 @@
     state: str = 'ready'
     # Milliseconds until the endpoint reaches full speed after its start.
     cold_remaining_ms: float = 0
+    # Unix milliseconds of the endpoint's start, by its own clock.
+    born: pydantic.StrictInt | None = None
 
 
 def decode(name: str, value: bytes) -> directory.Listing:
@@ -38,4 +40,5 @@
         zone=entry.zone,
         capacity=max(1, entry.slots),
         draining=entry.state != 'ready',
+        started_ms=entry.born,
     )
--- a/tests/lib/listings.py
+++ b/tests/lib/listings.py
@@ -4,7 +4,11 @@
 
 
 def make_listing(
-    name: str, *, zone: str = 'z', draining: bool = False
+    name: str,
+    *,
+    zone: str = 'z',
+    draining: bool = False,
+    started_ms: int | None = None,
 ) -> directory.Listing:
     """Return the entry of an endpoint of the service ``s``."""
     return directory.Listing(
@@ -15,4 +19,5 @@
         zone=zone,
         capacity=4,
         draining=draining,
+        started_ms=started_ms,
     )
--- a/tests/unit/test_endpoint_statements.py
+++ b/tests/unit/test_endpoint_statements.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import orjson
 import pytest
 
 from aspenfold._internal.gateway import directory
@@ -15,6 +16,7 @@
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.observability import events
 from aspenfold._internal.observability import metrics
+from aspenfold.platform import endpoint_records
 from aspenfold.platform import endpoint_statements
 from tests.lib import listings
 
@@ -159,6 +161,52 @@
     assert gateway.endpoint.rate_limit is None
 
 
+@pytest.mark.parametrize('is_removed', [False, True])
+def test_a_new_start_of_an_endpoint_has_stated_nothing(
+    is_removed: bool,
+) -> None:
+    """Nor do responses and entries of the start before it speak for it."""
+    gateway = Gateway()
+    known = gateway.directory
+    known.update_listing(listings.make_listing('w-1', started_ms=1000))
+    earlier = gateway.endpoint
+    gateway.record({b'server-leaving': b'1', b'server-limit': b'1'})
+    gateway.record(refusal('9'))
+    known.record_unreachable(earlier, gateway.now)
+    if is_removed:
+        known.remove_listing('w-1', gateway.now, store_available=True)
+    new = listings.make_listing('w-1', started_ms=1001)
+    assert known.update_listing(new)
+    assert gateway.wait() == 0 * SECOND
+    gateway.record({b'server-leaving': b'1'}, status=200, endpoint=earlier)
+    gateway.record({b'server-limit': b'0'}, status=200, endpoint=earlier)
+    old = listings.make_listing('w-1', started_ms=1000, draining=True)
+    assert not known.update_listing(old)
+    assert gateway.wait() == 0 * SECOND
+    assert gateway.endpoint.listing == new
+
+
+def test_an_entry_without_its_start_is_of_the_same_start() -> None:
+    """Other versions of endpoints may leave it out."""
+    gateway = Gateway()
+    gateway.record({b'server-leaving': b'1'}, status=200)
+    gateway.directory.update_listing(
+        listings.make_listing('w-1', started_ms=1000)
+    )
+    assert gateway.wait() is None
+
+
+def test_the_start_of_an_endpoint_is_a_whole_number() -> None:
+    """An entry in which it is not names no endpoint to use."""
+    entry = {'service': 's', 'address': '1.2.3.4:5', 'born': 1234}
+    listing = endpoint_records.decode('w', orjson.dumps(entry))
+    assert listing.started_ms == 1234
+    for value in ('1234', 1.5, True, [1]):
+        data = orjson.dumps({**entry, 'born': value})
+        with pytest.raises(ValueError, match='born'):
+            endpoint_records.decode('w', data)
+
+
 def test_few_removed_endpoints_are_remembered() -> None:
     """Their number must not grow with each release."""
     known = directory.Directory()
