Count the time in which a host is suspended

The steady clock stands still while a host is suspended, so that what an endpoint had asked for, a request's time and a peer's silence lasted longer by that at this gateway than for everybody else: it would leave an endpoint out for seconds after it wants requests again, and send requests whose callers are gone. The time since boot goes on, and is no more affected by setting the time of day.

Timers of the event loop still count the steady time.

--- a/src/aspenfold/_internal/kernel/clock.py
+++ b/src/aspenfold/_internal/kernel/clock.py
@@ -23,18 +23,23 @@
         return datetime.datetime.now(datetime.timezone.utc)
 
 
+# Counts the time in which the host is suspended; only Linux has it.
+_BOOT_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+
+
 class MonotonicClock:
     """A clock that is not affected when the system time is set.
 
-    Its times are only comparable within the process.
+    Its times are only comparable within the process.  The time in which the
+    host is suspended counts, since it passes for callers and endpoints.
     """
 
     def __init__(self) -> None:
-        self._start = time.monotonic()
+        self._start = time.clock_gettime(_BOOT_CLOCK)
 
     def now(self) -> datetime.datetime:
         """Return the Unix epoch plus the age of this clock, in UTC."""
-        elapsed = time.monotonic() - self._start
+        elapsed = time.clock_gettime(_BOOT_CLOCK) - self._start
         return EPOCH + datetime.timedelta(seconds=elapsed)
 
 
