Measure the return to endpoints that asked for no requests

Gateways that return at one instant could push an endpoint into asking again, and the others might hold back too. Nothing changes.

--- a/bench/main.py
+++ b/bench/main.py
@@ -6,6 +6,7 @@
 
 import fire
 
+from bench import backoff
 from bench import entry_edge
 from bench import gateway
 from bench import load
@@ -15,7 +16,16 @@
 from bench import report
 from bench import scale
 
-MODULES = (load, maps, scale, recovery, gateway, rate_limits, entry_edge)
+MODULES = (
+    load,
+    maps,
+    scale,
+    recovery,
+    gateway,
+    rate_limits,
+    backoff,
+    entry_edge,
+)
 """Importing these modules registers their benchmarks."""
 
 
