Compare what endpoints state with what the gateway reads

The decoder names the headers that are not in it, and entries and reports their unknown fields (FIELD_UNKNOWN, 512).

--- a/src/aspenfold/_internal/expertmaps/rank_protocol.py
+++ b/src/aspenfold/_internal/expertmaps/rank_protocol.py
@@ -36,6 +36,7 @@
     the version whose experts are all copied.  ``held`` is the pass that
     the group will not begin until it is released.  ``slowdown`` is how
     many times longer than normal the rank takes for its work.
+    ``unknown_fields`` of the report were not read.
     """
 
     group: str
@@ -50,6 +51,7 @@
     held: int | None
     slowdown: float = 1.0
     age: datetime.timedelta = MAX_REPORT_AGE
+    unknown_fields: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -147,9 +147,7 @@
 
         The result is ANSWERED if the body has to be read.
         """
-        headers = list(head.headers)
-        self._core.unknown_headers.check(self._endpoint.name, headers)
-        statement = self._core.decode_statement(headers)
+        statement = self._core.decode_statement(list(head.headers))
         self._core.statement_recorder.record(
             self._endpoint,
             statement,
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -17,7 +17,6 @@
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.gateway import statement_recorder
-from aspenfold._internal.gateway import unknown_headers
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.kernel import registry
 from aspenfold._internal.observability import events
@@ -47,19 +46,16 @@
         *,
         cfg: settings.GatewaySettings,
         header_names: header_names_module.HeaderNames,
-        statements: endpoint_statement.Decoder,
+        decode_statement: endpoint_statement.Decoder,
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
         self.cfg = cfg
         self.header_names = header_names
-        self.decode_statement = statements.decode
+        self.decode_statement = decode_statement
         self.clock = clock
         self.rng = rng
         self.forwarding = forwarding.Forwarding(header_names=header_names)
-        self.unknown_headers = unknown_headers.UnknownHeaders(
-            known_headers=statements.known_headers
-        )
         self.directory = directory_module.Directory()
         self.rate_limits = rate_limits.RateLimits(
             host=cfg.name,
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -41,7 +41,7 @@
 
     ``started_ms`` tells the starts of one endpoint apart: it is the Unix
     time of this one in milliseconds by the endpoint's clock, None if that is
-    not known.
+    not known.  ``unknown_fields`` of the entry were not read.
     """
 
     name: str
@@ -52,6 +52,7 @@
     capacity: int
     draining: bool
     started_ms: int | None = None
+    unknown_fields: tuple[str, ...] = ()
 
     def is_later_start(self, other: 'Listing') -> bool:
         """Return whether the endpoint was started anew since ``other``."""
@@ -153,7 +154,7 @@
         return send_permission.GRANTED
 
     def is_withdrawn(self, now: datetime.datetime) -> bool:
-        """Return whether a request that was chosen for it must not be sent."""
+        """Return whether it asked for no requests, be it for a while."""
         return self.leaving or bool(self.backoff.wait(now))
 
     def update_load(self, load: Load) -> None:
--- a/src/aspenfold/_internal/gateway/endpoint_feed.py
+++ b/src/aspenfold/_internal/gateway/endpoint_feed.py
@@ -13,6 +13,7 @@
 from aspenfold._internal.gateway import reader_selection as selection_module
 from aspenfold._internal.gateway import relay
 from aspenfold._internal.gateway import store_health
+from aspenfold._internal.gateway import unknown_names
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
 
@@ -52,6 +53,9 @@
         # The newest offset of each key, including removed ones.
         self._last_offsets: dict[str, int] = {}
         self._entries: dict[str, ports.Record] = {}
+        self._unknown_fields = unknown_names.UnknownNames(
+            event=events.Event.FIELD_UNKNOWN
+        )
         # What the current poll found, for followers.
         self._changed: list[ports.Record] = []
         self._removed: list[str] = []
@@ -160,6 +164,7 @@
                 error=str(exc)[:200],
             )
             return
+        self._unknown_fields.log(listing.name, listing.unknown_fields)
         endpoint = self._directory.get(listing.name)
         if endpoint is None or endpoint.listing != listing:
             self._changed.append(record)
--- a/src/aspenfold/_internal/gateway/endpoint_statement.py
+++ b/src/aspenfold/_internal/gateway/endpoint_statement.py
@@ -3,7 +3,6 @@
 from collections import abc
 import dataclasses
 import datetime
-import typing
 
 from aspenfold._internal.gateway import directory
 
@@ -29,7 +28,8 @@
     wants no request from this gateway.  ``rate_limit_invalid`` is whether it
     stated a limit that could not be read.  It is ``leaving`` if it will
     stop soon.  ``at_fault`` is the endpoint that made the request fail,
-    empty if it names none.  ``invalid`` are the headers that were ignored.
+    empty if it names none.  ``invalid`` are the headers that were ignored,
+    ``unknown`` the names of those that are not known.
     """
 
     attempt_id: str = ''
@@ -41,19 +41,12 @@
     leaving: bool = False
     at_fault: str = ''
     invalid: tuple[InvalidHeader, ...] = ()
+    unknown: tuple[str, ...] = ()
 
     def blames_other(self, endpoint: str) -> bool:
         """Return whether another one than ``endpoint`` is at fault."""
         return self.at_fault not in ('', endpoint)
 
 
-class Decoder(typing.Protocol):
-    """Decodes the headers of the platform's endpoints.
-
-    ``known_headers`` are the names that it reads or ignores on purpose.
-    """
-
-    known_headers: frozenset[bytes]
-
-    def decode(self, headers: Headers) -> EndpointStatement:
-        """Return what the headers of a response state."""
+Decoder = abc.Callable[[Headers], EndpointStatement]
+"""Returns what the headers of a response state."""
--- a/src/aspenfold/_internal/gateway/group_monitor.py
+++ b/src/aspenfold/_internal/gateway/group_monitor.py
@@ -13,6 +13,7 @@
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import rank_client
+from aspenfold._internal.gateway import unknown_names
 from aspenfold._internal.observability import events
 
 POLL_INTERVAL_S = 0.1
@@ -35,6 +36,9 @@
         self._core = core
         self._ranks_client = ranks_client
         self._rng = rng
+        self._unknown_fields = unknown_names.UnknownNames(
+            event=events.Event.FIELD_UNKNOWN
+        )
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -66,6 +70,7 @@
             if report is None:
                 continue
             endpoint.group = report.group
+            self._unknown_fields.log(endpoint.name, report.unknown_fields)
             events.emit(
                 events.Event.RANK_KNOWN,
                 endpoint=endpoint.name,
--- a/src/aspenfold/_internal/gateway/ports.py
+++ b/src/aspenfold/_internal/gateway/ports.py
@@ -133,4 +133,4 @@
     endpoint_topic: str
     decode_listing: abc.Callable[[str, bytes], directory.Listing]
     engine: Engine
-    statements: endpoint_statement.Decoder
+    decode_statement: endpoint_statement.Decoder
--- a/src/aspenfold/_internal/gateway/statement_recorder.py
+++ b/src/aspenfold/_internal/gateway/statement_recorder.py
@@ -5,6 +5,7 @@
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import rate_limits
+from aspenfold._internal.gateway import unknown_names
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.observability import events
 from aspenfold._internal.observability import metrics
@@ -29,6 +30,9 @@
         self._directory = endpoint_directory
         self._limits = limits
         self._counters = counters
+        self._unknown_headers = unknown_names.UnknownNames(
+            event=events.Event.HEADER_UNKNOWN
+        )
 
     def record(
         self,
@@ -44,6 +48,7 @@
 
         It responds to the attempt ``attempt_id``, sent at ``sent_at``.
         """
+        self._unknown_headers.log(endpoint.name, statement.unknown)
         self._log_invalid(endpoint, statement)
         if status == MISDIRECTED_STATUS:
             return
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -52,6 +52,7 @@
     PEER_UPDATE_CUT = 509
     ENDPOINT_BACKOFF = 510
     ENDPOINT_LEAVING = 511
+    FIELD_UNKNOWN = 512
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -112,6 +113,8 @@
     Event.ENDPOINT_BACKOFF: 'an endpoint refused and asked for no requests '
     'for a while',
     Event.ENDPOINT_LEAVING: 'an endpoint stated that it will stop soon',
+    Event.FIELD_UNKNOWN: "an endpoint's entry or report has a field that is "
+    'not known here',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -63,7 +63,7 @@
         self._core = core_module.Core(
             cfg=cfg,
             header_names=header_names,
-            statements=platform.statements,
+            decode_statement=platform.decode_statement,
             clock=clock,
             rng=random.Random(secrets.randbits(128)),
         )
--- a/src/aspenfold/platform/endpoint_records.py
+++ b/src/aspenfold/platform/endpoint_records.py
@@ -8,10 +8,14 @@
 """The endpoints' topic; the key of a record is the endpoint's name."""
 
 
+IGNORED_FIELDS = frozenset({'version', 'stage', 'models', 'sequence'})
+"""Fields that no decision depends on; docs/PLATFORM.md says why."""
+
+
 class _Entry(pydantic.BaseModel):
-    """An endpoint's record; unknown fields are ignored."""
+    """An endpoint's record; unknown fields are kept to be logged."""
 
-    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+    model_config = pydantic.ConfigDict(extra='allow', frozen=True)
 
     service: str
     address: str
@@ -41,4 +45,7 @@
         capacity=max(1, entry.slots),
         draining=entry.state != 'ready',
         started_ms=entry.born,
+        unknown_fields=tuple(
+            sorted((entry.model_extra or {}).keys() - IGNORED_FIELDS)
+        ),
     )
--- a/src/aspenfold/platform/endpoint_statements.py
+++ b/src/aspenfold/platform/endpoint_statements.py
@@ -1,6 +1,6 @@
 """Decodes what the platform's endpoints state in the headers of responses.
 
-Each name stands in the table "What endpoints state" of docs/PLATFORM.md.
+Each name stands in the table of docs/PLATFORM.md, "What endpoints state".
 """
 
 from collections import abc
@@ -69,32 +69,29 @@
 MAX_ERROR_CHARS = 200
 
 
-class StatementDecoder:
-    """Decodes the headers of one response after the other."""
-
-    known_headers = READ_HEADERS | IGNORED_HEADERS | forwarding.HOP_BY_HOP
-
-    def decode(
-        self, headers: endpoint_statement.Headers
-    ) -> endpoint_statement.EndpointStatement:
-        """Return what the headers of a response state."""
-        values = dict(reversed(headers))
-        invalid: list[endpoint_statement.InvalidHeader] = []
-        rate_limit = _parse(values, RATE_LIMIT, parse_rate_limit, invalid)
-        return endpoint_statement.EndpointStatement(
-            attempt_id=_text(values, header_names.HEADER_NAMES.attempt_id),
-            not_run=bool(values.get(NOT_RUN)),
-            load=parse_load(values.get(LOAD, b'')),
-            rate_limit=rate_limit,
-            rate_limit_invalid=bool(values.get(RATE_LIMIT))
-            and rate_limit is None,
-            retry_after=_parse(
-                values, RETRY_AFTER, parse_retry_after, invalid
-            ),
-            leaving=bool(_parse(values, LEAVING, parse_leaving, invalid)),
-            at_fault=_text(values, AT_FAULT),
-            invalid=tuple(invalid),
-        )
+KNOWN_HEADERS = READ_HEADERS | IGNORED_HEADERS | forwarding.HOP_BY_HOP
+
+
+def decode(
+    headers: endpoint_statement.Headers,
+) -> endpoint_statement.EndpointStatement:
+    """Return what the headers of a response state."""
+    values = dict(reversed(headers))
+    invalid: list[endpoint_statement.InvalidHeader] = []
+    rate_limit = _parse(values, RATE_LIMIT, parse_rate_limit, invalid)
+    unknown = [name for name in values if name not in KNOWN_HEADERS]
+    return endpoint_statement.EndpointStatement(
+        attempt_id=_text(values, header_names.HEADER_NAMES.attempt_id),
+        not_run=bool(values.get(NOT_RUN)),
+        load=parse_load(values.get(LOAD, b'')),
+        rate_limit=rate_limit,
+        rate_limit_invalid=bool(values.get(RATE_LIMIT)) and rate_limit is None,
+        retry_after=_parse(values, RETRY_AFTER, parse_retry_after, invalid),
+        leaving=bool(_parse(values, LEAVING, parse_leaving, invalid)),
+        at_fault=_text(values, AT_FAULT),
+        invalid=tuple(invalid),
+        unknown=tuple(name.decode('latin-1') for name in unknown),
+    )
 
 
 T = typing.TypeVar('T')
--- a/src/aspenfold/platform/engine.py
+++ b/src/aspenfold/platform/engine.py
@@ -59,7 +59,26 @@
     step: int
 
 
+IGNORED_REPORT_FIELDS = frozenset(
+    {
+        'stage',
+        'models',
+        'busy',
+        'sequence',
+        'queued',
+        'running',
+        'kv_used',
+        'kv_total',
+        'handles',
+        'born',
+    }
+)
+"""Fields that no decision depends on; docs/PLATFORM.md says why."""
+
+
 class _Report(_WireModel):
+    model_config = pydantic.ConfigDict(extra='allow', frozen=True)
+
     group: _Group
     # Ranks in the group, not requests.
     size: int
@@ -124,6 +143,11 @@
             armed=armed,
             held=decoded.held,
             slowdown=max(MIN_SLOWDOWN, decoded.pace),
+            unknown_fields=tuple(
+                sorted(
+                    (decoded.model_extra or {}).keys() - IGNORED_REPORT_FIELDS
+                )
+            ),
         )
 
     async def counts(self, host: str, port: int) -> rank_protocol.Counts:
--- a/src/aspenfold/platform/factory.py
+++ b/src/aspenfold/platform/factory.py
@@ -19,5 +19,5 @@
         endpoint_topic=endpoint_records.TOPIC,
         decode_listing=endpoint_records.decode,
         engine=engine.EngineClient(),
-        statements=endpoint_statements.StatementDecoder(),
+        decode_statement=endpoint_statements.decode,
     )
--- a/tests/unit/test_endpoint_headers.py
+++ b/tests/unit/test_endpoint_headers.py
@@ -4,19 +4,17 @@
 
 import pytest
 
-from aspenfold._internal.gateway import unknown_headers
+from aspenfold._internal.gateway import unknown_names
 from aspenfold._internal.observability import events
 from aspenfold.platform import endpoint_statements
 
 
 def logged_names(responses: list[list[tuple[bytes, bytes]]]) -> list[str]:
     """Return the header names that are logged for responses in order."""
-    checker = unknown_headers.UnknownHeaders(
-        known_headers=endpoint_statements.StatementDecoder.known_headers
-    )
+    unknown = unknown_names.UnknownNames(event=events.Event.HEADER_UNKNOWN)
     with mock.patch.object(events, 'emit', autospec=True) as emit:
         for response in responses:
-            checker.check('w-1', response)
+            unknown.log('w-1', endpoint_statements.decode(response).unknown)
     return [call.kwargs['name'] for call in emit.call_args_list]
 
 
@@ -30,7 +28,7 @@
 def test_names_that_an_endpoint_invents_are_bounded() -> None:
     """Neither memory nor the log may grow with them."""
     many = [(f'x-{n}'.encode(), b'') for n in range(1000)]
-    assert len(logged_names([many, many])) == unknown_headers.MAX_NAMES
+    assert len(logged_names([many, many])) == unknown_names.MAX_NAMES
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_endpoint_statements.py
+++ b/tests/unit/test_endpoint_statements.py
@@ -29,8 +29,7 @@
     headers: dict[bytes, bytes],
 ) -> endpoint_statement.EndpointStatement:
     """Return what these headers state."""
-    decoder = endpoint_statements.StatementDecoder()
-    return decoder.decode(list(headers.items()))
+    return endpoint_statements.decode(list(headers.items()))
 
 
 class Gateway:
--- a/tests/unit/test_store_feeds.py
+++ b/tests/unit/test_store_feeds.py
@@ -87,7 +87,7 @@
             endpoint_topic='endpoints',
             decode_listing=decode_listing,
             engine=None,  # type: ignore[arg-type]
-            statements=endpoint_statements.StatementDecoder(),
+            decode_statement=endpoint_statements.decode,
         )
         self.selection = reader_selection.ReaderSelection(
             host='g-2', zone='z', now=self.clock.now()
