Read no expert counts directly of a rank that wants no requests

Without agents a leader reads counts at the engines themselves; a rank that rests or leaves was asked as before. It is left out; the other ranks tell the same. Its agent, on its own host, may still ask it.

The test fails without the change: [1, 1, 1] reads in place of [1, 1, 0].

--- a/src/aspenfold/_internal/gateway/count_reader.py
+++ b/src/aspenfold/_internal/gateway/count_reader.py
@@ -62,7 +62,9 @@
             )
         if all_zones:
             self._all_zones_polled_at = now
-        self._poll_task = asyncio.create_task(self._read(endpoints, all_zones))
+        self._poll_task = asyncio.create_task(
+            self._read(endpoints, all_zones, now)
+        )
         return True
 
     def expedite(self) -> None:
@@ -86,14 +88,25 @@
         )
 
     async def _read(
-        self, endpoints: abc.Mapping[int, directory.Endpoint], all_zones: bool
+        self,
+        endpoints: abc.Mapping[int, directory.Endpoint],
+        all_zones: bool,
+        now: datetime.datetime,
     ) -> None:
-        """Read counts through agents, or directly if no agent answers."""
+        """Read counts through agents, or directly if no agent answers.
+
+        Only the agents ask ranks that want no requests from gateways.
+        """
         self.agents_answered = await self._sample(
             endpoints, agent_only=True, all_zones=all_zones
         )
-        if not self.agents_answered:
-            await self._sample(endpoints, agent_only=False, all_zones=False)
+        willing = {
+            rank: endpoint
+            for rank, endpoint in endpoints.items()
+            if not endpoint.is_withdrawn(now)
+        }
+        if willing and not self.agents_answered:
+            await self._sample(willing, agent_only=False, all_zones=False)
         self._planner.update_estimate()
 
     async def _sample(
--- a/tests/unit/test_rank_client.py
+++ b/tests/unit/test_rank_client.py
@@ -16,6 +16,8 @@
 from aspenfold._internal.gateway import sampling
 from aspenfold._internal.kernel import clock as clock_module
 
+SECOND = datetime.timedelta(seconds=1)
+
 AGENT_PORT = 7321
 ENGINE_PORT = 8080
 
@@ -303,3 +305,29 @@
     assert (
         engine.called.count(AGENT_PORT) == 10 * sampling.MAX_REMOTE_ZONE_RANKS
     )
+
+
+def test_counts_are_not_read_of_a_rank_that_wants_no_requests() -> None:
+    """Without agents another rank is read; with them its own host reads."""
+    engine = FakeEngine(ENGINE_PORT)
+    client, clock = client_and_clock(engine)
+    planner = map_planner.GroupMapPlanner(
+        service='s', shape=SHAPE, clock=clock
+    )
+    reader = count_reader.CountReader(
+        ranks_client=client, planner=planner, zone='a'
+    )
+    group = {0: endpoint('0', 'a'), 1: endpoint('1', 'a')}
+    read = []
+
+    async def run() -> None:
+        for _ in range(3):
+            engine.called.clear()
+            assert reader.poll(group, clock.now())
+            await asyncio.sleep(0.01)
+            read.append(engine.called.count(ENGINE_PORT))
+            group.get(len(read) - 1, group[0]).leaving = True
+            clock.time += SECOND
+
+    asyncio.run(run())
+    assert read == [1, 1, 0]
