Let endpoints refuse and leave by header in the soak

One endpoint or rank after the other refuses while idle and asks for 0.6 to 3 s without requests; plain endpoints state that they leave, without a word in the store, and stop 6 s later. The guarantees are judged from what the endpoints received: two requests of one gateway process between half a second after a refusal and its end, and none of it 2 s after it has forwarded the statement. Faults of the gateway, the endpoint or its link excuse it.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -15,6 +15,7 @@
 from tests.soak import main
 from tests.soak import rate_limits
 from tests.soak import soak_history
+from tests.soak import statements
 from tests.soak import system_under_test
 
 FAILED_SEEDS = [
@@ -237,3 +238,67 @@
     )
     violations = rate_limits.find_violations([period], scenario.history)
     assert bool(violations) is is_found
+
+
+@pytest.mark.parametrize(
+    ('requests', 'fault', 'is_found'),
+    [(3, '', True), (2, '', False), (3, 'g', False)],
+)
+def test_checker_reports_requests_after_a_refusal(
+    tmp_path: pathlib.Path, requests: int, fault: str, is_found: bool
+) -> None:
+    """Two may come, more only of a gateway that had a fault."""
+    scenario = CheckerScenario(tmp_path)
+    scenario.add_request('/safe/', 503)
+    at = time.monotonic()
+    scenario.worker.refusals.append(
+        statements.platform_worker.Refusal(
+            at=at, retry_after_s=2.0, attempt='soak-1'
+        )
+    )
+    scenario.receive_request('soak-1', at + 0.4)
+    scenario.receive_request('soak-1', at + 2.1)
+    for number in range(requests):
+        scenario.receive_request('soak-1', at + 0.6 + number / 10)
+    if fault:
+        scenario.history.start_fault(fault)
+    violations = statements.find_violations(
+        [scenario.worker], [], scenario.history
+    )
+    assert bool(violations) is is_found
+
+
+@pytest.mark.parametrize(
+    ('told', 'delay_s', 'fault', 'is_found'),
+    [
+        (True, 2.5, '', True),
+        (True, 1.5, '', False),
+        (False, 2.5, '', False),
+        (True, 2.5, 'g', False),
+    ],
+)
+def test_checker_reports_requests_to_an_endpoint_that_left(
+    tmp_path: pathlib.Path,
+    told: bool,
+    delay_s: float,
+    fault: str,
+    is_found: bool,
+) -> None:
+    """Only of gateways that forwarded its statement, and not at once."""
+    scenario = CheckerScenario(tmp_path)
+    request = scenario.add_request('/safe/', 200)
+    assert request.response is not None
+    if told:
+        request.response.headers.update(
+            {
+                statements.platform_worker.LEAVING_HEADER.lower(): '1',
+                statements.platform_worker.SEAL_HEADER.lower(): 'seal-w',
+            }
+        )
+    scenario.receive_request('soak-1', request.ended_at + delay_s)
+    if fault:
+        scenario.history.start_fault(fault)
+    violations = statements.find_violations(
+        [], [scenario.worker], scenario.history
+    )
+    assert bool(violations) is is_found
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -15,6 +15,7 @@
 from tests.soak import guarantees
 from tests.soak import rate_limits
 from tests.soak import soak_history
+from tests.soak import statements
 from tests.soak import system_under_test
 
 GATEWAY_COUNT = 3
@@ -69,6 +70,11 @@
     limits = rate_limits.RateLimitInjector(
         system=system, rng=random.Random(f'{seed} rate limits')
     )
+    injected_statements = statements.StatementInjector(
+        system=system,
+        history=history,
+        rng=random.Random(f'{seed} statements'),
+    )
     probers = [
         callers.PlanProber(system=system, gateway=gateway, history=history)
         for gateway in system.gateways
@@ -91,7 +97,7 @@
         ]
         tasks = [
             asyncio.ensure_future(x.run())
-            for x in [*all_callers, *probers, limits]
+            for x in [*all_callers, *probers, limits, injected_statements]
         ]
         await injector.run(duration_s)
         unready = await _wait_until_ready(system, probers)
@@ -108,6 +114,11 @@
             raise task_result
     violations = checker.check()
     violations += rate_limits.find_violations(limits.periods, history)
+    violations += statements.find_violations(
+        [e.worker for e in system.endpoints + system.removed_endpoints],
+        injected_statements.left,
+        history,
+    )
     requests = history.requests.values()
     return SoakResult(
         seed=seed,
--- a/tests/soak/rate_limits.py
+++ b/tests/soak/rate_limits.py
@@ -21,9 +21,6 @@
 PAUSE_RANGE_S = (0.5, 2.0)
 """Time between two limits."""
 
-Process = tuple[str, int]
-"""A gateway's name and the number of its process."""
-
 
 @dataclasses.dataclass(kw_only=True)
 class LimitPeriod:
@@ -107,7 +104,7 @@
 
 def _count_window(
     start: float,
-    arrivals: abc.Iterable[tuple[float, Process]],
+    arrivals: abc.Iterable[tuple[float, soak_history.Process]],
     period: LimitPeriod,
     history: soak_history.SoakHistory,
 ) -> int:
@@ -125,9 +122,11 @@
 
 def _arrivals_after_statement(
     period: LimitPeriod, history: soak_history.SoakHistory
-) -> list[tuple[float, Process]]:
+) -> list[tuple[float, soak_history.Process]]:
     """Return the requests of gateways that must know of the limit."""
-    told = _times_told(period, history)
+    told = history.times_told(
+        period.endpoint.name, platform_worker.RATE_LIMIT_HEADER, period.since
+    )
     arrivals = []
     for received in period.endpoint.requests:
         attempt = received.headers.get(platform_worker.ATTEMPT_HEADER, '')
@@ -139,25 +138,3 @@
         if received.arrived_at >= told_at + rate_limit_rule.LEARNING_S:
             arrivals.append((received.arrived_at, process))
     return arrivals
-
-
-def _times_told(
-    period: LimitPeriod, history: soak_history.SoakHistory
-) -> dict[Process, float]:
-    """Return when each process first forwarded a statement."""
-    told: dict[Process, float] = {}
-    seal = f'seal-{period.endpoint.name}'
-    for request in history.requests.values():
-        response = request.response
-        if response is None or request.ended_at < period.since:
-            continue
-        headers = response.headers
-        states_limit = platform_worker.RATE_LIMIT_HEADER.lower() in headers
-        from_endpoint = (
-            headers.get(platform_worker.SEAL_HEADER.lower()) == seal
-        )
-        if states_limit and from_endpoint:
-            process = request.gateway, request.process_number
-            known = told.get(process, request.ended_at)
-            told[process] = min(known, request.ended_at)
-    return told
--- a/tests/soak/soak_history.py
+++ b/tests/soak/soak_history.py
@@ -3,6 +3,8 @@
 import dataclasses
 import time
 
+from aspenfold_standins import platform_worker
+
 from tests.lib import gateway_rig
 
 AT_MOST_ONCE_PATHS = frozenset({'/unsafe/', '/once/', '/song/', '/model/'})
@@ -24,6 +26,10 @@
 """Time after the end of a fault during which its effects are accepted."""
 
 
+Process = tuple[str, int]
+"""A gateway's name and the number of its process."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class RequestRecord:
     """One request, and the response that its caller received.
@@ -66,6 +72,36 @@
         """Record a request; call this before sending it."""
         self.requests[request.attempt_id] = request
 
+    def process_of(self, attempt_id: str) -> Process | None:
+        """Return the process that got a request, None if nobody sent it."""
+        request = self.requests.get(attempt_id)
+        if request is None:
+            return None
+        return request.gateway, request.process_number
+
+    def times_told(
+        self, endpoint: str, header: str, since: float = 0.0
+    ) -> dict[Process, float]:
+        """Return when each process first forwarded a header of an endpoint.
+
+        Only responses that ended at ``since`` or later count.
+        """
+        told: dict[Process, float] = {}
+        seal = f'seal-{endpoint}'
+        for request in self.requests.values():
+            response = request.response
+            if response is None or request.ended_at < since:
+                continue
+            headers = response.headers
+            from_endpoint = (
+                headers.get(platform_worker.SEAL_HEADER.lower()) == seal
+            )
+            if header.lower() in headers and from_endpoint:
+                process = request.gateway, request.process_number
+                known = told.get(process, request.ended_at)
+                told[process] = min(known, request.ended_at)
+        return told
+
     def start_fault(self, subject: str) -> list[float]:
         """Start a fault period of ``subject`` and return it."""
         period = [time.monotonic(), float('inf')]
