Gauges of endpoints that want no requests or leave

backed_off_endpoints and leaving_endpoints, so that a gateway without much to send to is seen without its log.

--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -198,6 +198,14 @@
         for endpoint in self._endpoints.values():
             endpoint.slowdown = slowdowns.get(endpoint.name, 1.0)
 
+    def count_backed_off(self, now: datetime.datetime) -> int:
+        """Return how many endpoints want no requests for a while."""
+        return sum(bool(e.backoff.wait(now)) for e in self._endpoints.values())
+
+    def count_leaving(self) -> int:
+        """Return how many endpoints will stop soon."""
+        return sum(e.leaving for e in self._endpoints.values())
+
     def names(self) -> list[str]:
         """Return the names of all known endpoints."""
         return list(self._endpoints)
--- a/src/aspenfold/_internal/processes/gateway_metrics.py
+++ b/src/aspenfold/_internal/processes/gateway_metrics.py
@@ -30,6 +30,11 @@
     add_gauge('list_age_seconds', lambda: _seconds(feeds.endpoints_age()))
     add_gauge('endpoints', lambda: len(core.directory))
     add_gauge('limited_endpoints', core.rate_limits.count)
+    add_gauge(
+        'backed_off_endpoints',
+        lambda: core.directory.count_backed_off(core.clock.now()),
+    )
+    add_gauge('leaving_endpoints', core.directory.count_leaving)
     add_gauge('reads_store', lambda: selection.is_reader(core.clock.now()))
     add_gauge('store_lost', lambda: selection.store_lost)
     add_gauge('followers', lambda: publisher.followers)
