--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -86,6 +86,7 @@
     its group of ranks, empty while that is not known.  Since
     ``missing_since`` it has no entry in the list.  ``rate_limit`` is kept by
     :class:`rate_limits.RateLimits`, None if the endpoint never stated one.
+    ``backoff`` is the time in which it wants no requests.
     """
 
     listing: Listing
--- a/src/aspenfold/_internal/gateway/statement_recorder.py
+++ b/src/aspenfold/_internal/gateway/statement_recorder.py
@@ -66,7 +66,7 @@
             sent_at=sent_at,
             now=now,
         )
-        if statement.retry_after is not None and status in BACKOFF_STATUSES:
+        if statement.retry_after and status in BACKOFF_STATUSES:
             self._directory.record_backoff(
                 endpoint, statement.retry_after, now
             )
--- a/tests/unit/test_endpoint_statements.py
+++ b/tests/unit/test_endpoint_statements.py
@@ -264,6 +264,35 @@
         assert gateway.wait() == max(max(ends) - gateway.now, 0 * SECOND)
 
 
+@pytest.mark.parametrize('retry_after', [None, '0', 'soon'])
+def test_an_idle_endpoint_that_refuses_is_paused(
+    retry_after: str | None,
+) -> None:
+    """As it runs nothing, the next request would go there first."""
+    gateway = Gateway()
+    headers = {
+        b'x-aspenfold-not-executed': b'1',
+        b'x-aspenfold-instance-load': b'0,0,4',
+    }
+    if retry_after is not None:
+        headers[b'retry-after'] = retry_after.encode()
+    gateway.record({**headers, b'at-server': b'w-2'})
+    assert gateway.wait() == 0 * SECOND
+    gateway.record({**headers, b'x-aspenfold-instance-load': b'4,0,4'})
+    assert gateway.wait() == 0 * SECOND
+    pauses = []
+    for _ in range(5):
+        gateway.record(headers)
+        pauses.append(gateway.wait())
+    assert pauses == [
+        0.5 * SECOND,
+        1 * SECOND,
+        2 * SECOND,
+        4 * SECOND,
+        4 * SECOND,
+    ]
+
+
 def test_a_backed_off_endpoint_is_no_last_resort() -> None:
     """Other than a paused one, of which that is only a guess."""
     gateway = Gateway()
