--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -17,6 +17,9 @@
 MAX_TRANSIT_S = 0.25
 """Longest time that a request takes from a gateway to an endpoint."""
 
+MAX_DRAIN_DELAY_S = DRAIN_NOTICE_S + MAX_TRANSIT_S
+"""Time from a notice until the last request may arrive."""
+
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that the request was not executed."""
 
@@ -101,10 +104,7 @@
         arrived_at: float,
     ) -> None:
         since = endpoint.draining_since
-        if (
-            since is None
-            or arrived_at <= since + DRAIN_NOTICE_S + MAX_TRANSIT_S
-        ):
+        if since is None or arrived_at <= since + MAX_DRAIN_DELAY_S:
             return
         fault_free = all(
             self._history.is_fault_free(subject, since, arrived_at)
--- a/tests/soak/statements.py
+++ b/tests/soak/statements.py
@@ -7,6 +7,7 @@
 from aspenfold_standins import platform_worker
 
 from tests.lib import retry_after_rule
+from tests.soak import guarantees
 from tests.soak import soak_history
 from tests.soak import system_under_test
 
@@ -23,12 +24,6 @@
 
 LEAVING_PAUSE_RANGE_S = (1.0, 3.0)
 
-MAX_TRANSIT_S = 0.25
-"""Longest time that a request takes from a gateway to an endpoint."""
-
-DRAIN_S = 2.0
-"""Time after which an endpoint that states its leaving may stop."""
-
 
 class StatementInjector:
     """Lets endpoints state by header that they want no requests.
@@ -167,7 +162,7 @@
     told = history.times_told(worker.name, platform_worker.LEAVING_HEADER)
     for process, told_at in told.items():
         for arrived_at in _arrivals(worker, process, history):
-            if arrived_at <= told_at + DRAIN_S + MAX_TRANSIT_S:
+            if arrived_at <= told_at + guarantees.MAX_DRAIN_DELAY_S:
                 continue
             if history.is_fault_free(process[0], told_at, arrived_at):
                 violations.append(
