Forget the rate limit of an endpoint that was removed and came back

Since endpoints are remembered when their entry goes, one that came back kept its rate limit, but the gateway no longer told its peers of it nor counted it: each gateway would have kept the limit by itself. Found by reading the whole change; a limit of 2 that was stated after the return gave no report.

The limit ends with the entry, as before endpoints were remembered; the next response states it again. The test failed before (limit still 1.0).

--- a/src/aspenfold/_internal/gateway/rate_limits.py
+++ b/src/aspenfold/_internal/gateway/rate_limits.py
@@ -150,9 +150,14 @@
             known.set_senders(self._count_senders(name, known), now)
 
     def forget_removed(self) -> None:
-        """Forget endpoints that are not in the directory any more."""
+        """Forget the limits of endpoints that are not in the directory.
+
+        The directory remembers these endpoints, but peers are not told of
+        their limits meanwhile.
+        """
         for name, endpoint in list(self._limited.items()):
             if self._directory.get(name) is not endpoint:
+                endpoint.rate_limit = None
                 del self._limited[name]
 
     def reports(self, now: datetime.datetime) -> dict[str, Report]:
--- a/tests/unit/test_rate_limits.py
+++ b/tests/unit/test_rate_limits.py
@@ -188,3 +188,20 @@
     names = list(limits.reports(now))
     assert len(names) == rate_limits.MAX_REPORTS
     assert names[-1] == 'w-99'
+
+
+def test_a_limit_that_is_kept_is_told_to_peers() -> None:
+    """An entry may be removed and come back, with its limit or without."""
+    known, limits = one_gateway()
+    endpoint = add_endpoint(known, 'w')
+    now = clock.EPOCH
+    limits.record_statement(endpoint, 1.0, sent_at=now, now=now)
+    known.remove_listing('w', now, store_available=True)
+    limits.forget_removed()
+    assert add_endpoint(known, 'w') is endpoint
+    assert limits.rate('w') is None
+    now += SECOND
+    limits.record_statement(endpoint, 2.0, sent_at=now, now=now)
+    assert limits.rate('w') == 2.0
+    assert limits.count() == 1
+    assert list(limits.reports(now)) == ['w']
