--- a/src/aspenfold/_internal/gateway/count_reader.py
+++ b/src/aspenfold/_internal/gateway/count_reader.py
@@ -100,14 +100,22 @@
         self.agents_answered = await self._sample(
             endpoints, agent_only=True, all_zones=all_zones
         )
+        if not self.agents_answered:
+            await self._read_directly(endpoints, now)
+        self._planner.update_estimate()
+
+    async def _read_directly(
+        self,
+        endpoints: abc.Mapping[int, directory.Endpoint],
+        now: datetime.datetime,
+    ) -> None:
         willing = {
             rank: endpoint
             for rank, endpoint in endpoints.items()
             if not endpoint.is_withdrawn(now)
         }
-        if willing and not self.agents_answered:
+        if willing:
             await self._sample(willing, agent_only=False, all_zones=False)
-        self._planner.update_estimate()
 
     async def _sample(
         self,
