Log and count how the body of each endpoint's response ended

The HTTP client states it as one typed fact (BodyEnd); the lines that end an attempt or a call carry it with the events and the bytes of an unfinished one, and a counter has it by kind. No decision changes.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -11,6 +11,7 @@
 from aspenfold._internal.gateway import outage
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import plan as plan_module
+from aspenfold._internal.gateway import response_end as end_module
 from aspenfold._internal.gateway import statement_recorder
 from aspenfold._internal.network import http1_client
 from aspenfold._internal.observability import events
@@ -52,6 +53,7 @@
             left_ms=self._call.remaining_ms,
             plan=self._core.plan_version,
         )
+        self._call.response_end = None
         endpoint.in_flight += 1
         try:
             async with asyncio.timeout(self._call.remaining.total_seconds()):
@@ -77,8 +79,21 @@
                 return outcome.AttemptResult.WITHDRAWN
             return await self._send_request(connection)
         finally:
+            self._record_end(connection)
             connection.close()
 
+    def _record_end(self, connection: http1_client.Connection) -> None:
+        if connection.body_end is None:
+            return
+        splitter = self._call.splitter
+        end = end_module.ResponseEnd(
+            body_end=connection.body_end,
+            events=splitter.events,
+            unfinished_bytes=len(splitter.partial_event),
+        )
+        self._call.response_end = end
+        self._core.metrics.increment('response_ends', end.kind)
+
     async def _send_request(
         self, connection: http1_client.Connection
     ) -> outcome.AttemptResult:
--- a/src/aspenfold/_internal/gateway/call.py
+++ b/src/aspenfold/_internal/gateway/call.py
@@ -6,6 +6,7 @@
 
 from aspenfold._internal.gateway import event_stream
 from aspenfold._internal.gateway import forwarding
+from aspenfold._internal.gateway import response_end as end_module
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import http1_server
 
@@ -26,7 +27,8 @@
     ``response`` writes to the caller.  ``splitter`` splits a streamed
     response into events and is kept through all attempts.
     ``buffered_response`` is the latest complete response that was not
-    forwarded yet.
+    forwarded yet.  ``response_end`` is how the response of the latest attempt
+    ended, None if none began.
     """
 
     clock: clock_module.Clock
@@ -40,6 +42,7 @@
         default_factory=event_stream.EventSplitter
     )
     buffered_response: BufferedResponse | None = None
+    response_end: end_module.ResponseEnd | None = None
 
     @property
     def age(self) -> datetime.timedelta:
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -346,7 +346,6 @@
             events.Event.CALL_FAILED,
             code=int(Code.ANSWER_CUT),
             detail=f'{self.endpoint}: {result.value}',
-            events=self._call.splitter.events,
         )
 
     def _log_finished(self, event: events.Event, **fields: object) -> None:
@@ -358,9 +357,15 @@
             attempts=len(self._tried) + 1,
             age_ms=self._call.age_ms,
             plan=self._core.plan_version,
+            **self._end_fields(),
             **fields,
         )
 
+    def _end_fields(self) -> dict[str, object]:
+        """Return how the last response ended, for a log line."""
+        end = self._call.response_end
+        return {} if end is None else end.log_fields()
+
     def _log_retry(
         self,
         history: outcome.History,
@@ -376,6 +381,7 @@
             endpoint=endpoint.name,
             end=result.value,
             age_ms=self._call.age_ms,
+            **self._end_fields(),
             budget=round(
                 self._core.retry_budget(self._call.service).available, 1
             ),
--- a/src/aspenfold/_internal/network/http1_client.py
+++ b/src/aspenfold/_internal/network/http1_client.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from aspenfold._internal.network import body_end
+
 MAX_BUFFERED_BYTES = 262_144
 """Reading from the socket pauses while more unread bytes are buffered."""
 
@@ -26,7 +28,14 @@
 
 
 class ConnectionLost(Exception):
-    """The connection ended early, or the peer sent invalid HTTP."""
+    """The connection ended early, or the peer sent invalid HTTP.
+
+    ``end`` says in which way.
+    """
+
+    def __init__(self, detail: str, *, end: body_end.BodyEnd) -> None:
+        super().__init__(detail)
+        self.end = end
 
 
 class NotConnected(Exception):
@@ -47,6 +56,10 @@
         self._closed = False
         self._reset = False
         self._paused = False
+        self._method = b''
+        self._complete_end = body_end.BodyEnd.LENGTH
+        self.body_end: body_end.BodyEnd | None = None
+        """How the last response's body ended, None while it is read."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options of the new connection."""
@@ -100,6 +113,8 @@
         self, method: bytes, target: bytes, headers: Headers, body: bytes
     ) -> None:
         """Send a request; ``headers`` must include the body's length."""
+        self._method = method
+        self.body_end = None
         request = h11.Request(method=method, target=target, headers=headers)
         parts = [self._parser.send(request) or b'']
         if body:
@@ -116,9 +131,12 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self._complete_end = body_end.complete_end(event, self._method)
                 return event
             if not isinstance(event, h11.InformationalResponse):
-                raise ConnectionLost(f'unexpected {event!r:.60}')
+                raise self._lost(
+                    f'unexpected {event!r:.60}', body_end.BodyEnd.INVALID
+                )
 
     async def read_data(self) -> bytes | None:
         """Return the next bytes of the body, or None at its end.
@@ -129,8 +147,9 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self.body_end = self._complete_end
             return None
-        raise ConnectionLost(f'unexpected {event!r:.60}')
+        raise self._lost(f'unexpected {event!r:.60}', body_end.BodyEnd.INVALID)
 
     async def request(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
@@ -173,24 +192,37 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as exc:
-                raise ConnectionLost(
-                    f'invalid HTTP from server: {exc}'
-                ) from exc
+                raise self._invalid(exc) from exc
             if event is h11.NEED_DATA:
                 await self._feed_parser()
                 continue
             if isinstance(event, h11.ConnectionClosed):
-                raise ConnectionLost(
-                    'connection closed before the end of the response'
+                raise self._lost(
+                    'connection closed before the end of the response',
+                    body_end.BodyEnd.CUT,
                 )
             return event
 
+    def _invalid(self, exc: h11.RemoteProtocolError) -> ConnectionLost:
+        """Return the error for what h11 rejected.
+
+        h11 also rejects the end of the connection inside a response.
+        """
+        _, closed = self._parser.trailing_data
+        end = body_end.BodyEnd.CUT if closed else body_end.BodyEnd.INVALID
+        return self._lost(f'invalid HTTP from server: {exc}', end)
+
+    def _lost(self, detail: str, end: body_end.BodyEnd) -> ConnectionLost:
+        self.body_end = end
+        return ConnectionLost(detail, end=end)
+
     async def _feed_parser(self) -> None:
         """Wait for bytes or the end of the stream, and pass them on."""
         while not self._received:
             if self._reset:
-                raise ConnectionLost(
-                    'connection reset before the end of the response'
+                raise self._lost(
+                    'connection reset before the end of the response',
+                    body_end.BodyEnd.RESET,
                 )
             if self._closed:
                 self._parser.receive_data(b'')
--- a/standins/aspenfold_standins/platform_worker.py
+++ b/standins/aspenfold_standins/platform_worker.py
@@ -8,6 +8,7 @@
 import collections
 from collections import abc
 import dataclasses
+import enum
 import time
 
 from aspenfold_standins import http11
@@ -264,3 +265,80 @@
         await asyncio.sleep(worker.event_interval_s)
     if last == worker.event_count:
         await exchange.write(b'0\r\n\r\n')
+
+
+class Framing(enum.Enum):
+    """How a response marks the end of its body."""
+
+    CHUNKS = 'chunks'
+    LENGTH = 'length'
+    CLOSE = 'close'
+
+
+class Ending(enum.Enum):
+    """What an endpoint does after the last bytes of a response."""
+
+    PROPER = 'proper'
+    """Complete the body as its framing says."""
+
+    CLOSED = 'closed'
+    """Close the connection without completing the body."""
+
+    RESET = 'reset'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BrokenStream:
+    """A script that executes, then sends the first bytes of a stream.
+
+    It sends ``size`` of them, ``step`` at a time, and ends as ``framing`` and
+    ``ending`` say.  ``content`` is the whole stream.
+    """
+
+    framing: Framing
+    ending: Ending = Ending.PROPER
+    size: int
+    step: int = 65_536
+    content: bytes = b''
+    content_type: str = 'text/event-stream; charset=utf-8'
+    status: int = 200
+
+    async def __call__(
+        self, worker: Worker, exchange: http11.Exchange
+    ) -> None:
+        """Execute and respond."""
+        worker.record_execution(exchange)
+        body = self.content[: self.size]
+        await exchange.write(self._head(worker, exchange, len(body)))
+        for start in range(0, len(body), self.step):
+            await exchange.write(self._frame(body[start : start + self.step]))
+            if self.step < len(body):
+                await asyncio.sleep(0)
+        if self.ending is Ending.RESET:
+            # Let the bytes arrive first.
+            await asyncio.sleep(0.05)
+            exchange.reset()
+            return
+        if self.ending is Ending.PROPER and self.framing is Framing.CHUNKS:
+            await exchange.write(b'0\r\n\r\n')
+        exchange.close()
+
+    def _head(
+        self, worker: Worker, exchange: http11.Exchange, size: int
+    ) -> bytes:
+        headers = worker.response_headers(exchange)
+        lines = [f'HTTP/1.1 {self.status} Status']
+        lines += [f'{n}: {v}' for n, v in headers.items()]
+        if self.content_type:
+            lines.append(f'content-type: {self.content_type}')
+        if self.framing is Framing.CHUNKS:
+            lines.append('transfer-encoding: chunked')
+        elif self.framing is Framing.LENGTH:
+            missing = 0 if self.ending is Ending.PROPER else 100
+            lines.append(f'content-length: {size + missing}')
+        return '\r\n'.join([*lines, '', '']).encode()
+
+    def _frame(self, data: bytes) -> bytes:
+        if self.framing is not Framing.CHUNKS:
+            return data
+        return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
--- a/tests/functional/test_gateway_statements.py
+++ b/tests/functional/test_gateway_statements.py
@@ -22,18 +22,6 @@
     return [r.arrived_at for r in worker.requests if r.target == path]
 
 
-async def metrics(rig: rigs.Rig) -> bytes:
-    """Return the gateway's metrics in Prometheus's text format."""
-    reader, writer = await asyncio.open_connection(
-        rigs.LOOPBACK, rig.gateway.metrics_port
-    )
-    writer.write(b'GET /metrics HTTP/1.1\r\nhost: m\r\n\r\n')
-    try:
-        return (await rigs.read_response(reader)).body
-    finally:
-        writer.close()
-
-
 async def call_for(
     rig: rigs.Rig, path: str, seconds: float
 ) -> list[rigs.Response]:
@@ -137,7 +125,9 @@
             leaving.leaving = True
             await rig.wait_until_ready()
             assert (await rig.request('/once/')).status >= 500
-            assert b'aspenfold_leaving_endpoints 1.0' in await metrics(rig)
+            assert b'aspenfold_leaving_endpoints 1.0' in await rigs.metrics(
+                rig
+            )
             rig.store.fault = rig.store.fault.RESET
             for _ in range(3):
                 response = await rig.request('/safe/')
@@ -178,13 +168,17 @@
             resting = await rig.add_worker('w-1', workers.at_capacity)
             resting.retry_after = 1.5
             await rig.wait_until_ready()
-            assert b'aspenfold_backed_off_endpoints 0.0' in await metrics(rig)
+            assert b'aspenfold_backed_off_endpoints 0.0' in await rigs.metrics(
+                rig
+            )
             for path in ('/unsafe/', '/song/'):
                 response = await rig.request(path)
                 assert response.status == 503
                 assert response.body.startswith(b'[1105]')
                 assert 1.0 < float(response.headers['retry-after']) <= 1.5
-            assert b'aspenfold_backed_off_endpoints 1.0' in await metrics(rig)
+            assert b'aspenfold_backed_off_endpoints 1.0' in await rigs.metrics(
+                rig
+            )
             resting.script = workers.complete
             response = await rig.request('/once/', **rigs.deadline_header(2))
             assert 0.5 < float(response.headers['retry-after']) < 0.67
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -13,6 +13,7 @@
 
 from aspenfold_standins import metadata_store
 from aspenfold_standins import platform_worker
+import eliot
 import h11
 
 from aspenfold._internal.gateway import settings
@@ -236,6 +237,29 @@
             return
 
 
+async def metrics(rig: Rig) -> bytes:
+    """Return the gateway's metrics in Prometheus's text format."""
+    reader, writer = await asyncio.open_connection(
+        LOOPBACK, rig.gateway.metrics_port
+    )
+    writer.write(b'GET /metrics HTTP/1.1\r\nhost: m\r\n\r\n')
+    try:
+        return (await read_response(reader)).body
+    finally:
+        writer.close()
+
+
+@contextlib.contextmanager
+def recorded_events() -> abc.Iterator[list[dict[str, typing.Any]]]:
+    """Yield a list that gets each log event of the test process."""
+    lines: list[dict[str, typing.Any]] = []
+    eliot.add_destinations(lines.append)
+    try:
+        yield lines
+    finally:
+        eliot.remove_destination(lines.append)
+
+
 def deadline_header(seconds: float) -> dict[str, str]:
     """Return the header with the remaining time of a caller's deadline."""
     return {'X_Aspenfold_Deadline_Remaining_Ms': f'{seconds * 1000:.0f}'}
