Deliver no stream as complete that ends inside an event

Cause: what is complete was decided in four places. The HTTP client took the connection's end for the body's end, as HTTP does without a length and chunks; the stream forwarded what was left of its last event and marked its own end, whatever the framing had been. No place asked whether the content was whole.

Change: one typed fact (ResponseEnd) joins how HTTP ended the body with what the body says of itself, and only a response that is whole is an answer; any other is lost, and the rule that was there decides between resuming, retrying, breaking off and 502. An event stream is told by its content type, so that a buffered one is asked too and a streaming route's other responses are not. Comment lines and blank lines may follow the last event, and events may end with CR.

It works for any framing, since the content decides, and no half event is forwarded as none was before the end.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -10,8 +10,8 @@
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import outage
 from aspenfold._internal.gateway import outcome
-from aspenfold._internal.gateway import plan as plan_module
-from aspenfold._internal.gateway import response_end as end_module
+from aspenfold._internal.gateway import response_end
+from aspenfold._internal.gateway import response_receiver
 from aspenfold._internal.gateway import statement_recorder
 from aspenfold._internal.network import http1_client
 from aspenfold._internal.observability import events
@@ -20,9 +20,6 @@
 """Timeout of a connection to an endpoint, in seconds.  A cut link never
 accepts; the longest round trip between zones is 3 ms."""
 
-MAX_BUFFERED_BYTES = 4_194_304
-"""Size limit of a response that is buffered until it is complete."""
-
 
 class Attempt:
     """Sends a request to one endpoint and receives the response."""
@@ -79,21 +76,8 @@
                 return outcome.AttemptResult.WITHDRAWN
             return await self._send_request(connection)
         finally:
-            self._record_end(connection)
             connection.close()
 
-    def _record_end(self, connection: http1_client.Connection) -> None:
-        if connection.body_end is None:
-            return
-        splitter = self._call.splitter
-        end = end_module.ResponseEnd(
-            body_end=connection.body_end,
-            events=splitter.events,
-            unfinished_bytes=len(splitter.partial_event),
-        )
-        self._call.response_end = end
-        self._core.metrics.increment('response_ends', end.kind)
-
     async def _send_request(
         self, connection: http1_client.Connection
     ) -> outcome.AttemptResult:
@@ -115,12 +99,25 @@
                 return result
             if result is outcome.AttemptResult.LOST:
                 return result
-            if self._is_event_stream(head.status_code):
-                return await self._forward_stream(head, connection)
-            return await self._buffer_response(head, connection)
-        except http1_client.ConnectionLost:
+            return await self._receiver(connection).receive(head)
+        except http1_client.ConnectionLost as exc:
+            if self._call.response_end is None:
+                # The response had no body yet.
+                end = response_end.ResponseEnd(body_end=exc.end)
+                response_receiver.record_end(self._core, self._call, end)
             return outcome.AttemptResult.LOST
 
+    def _receiver(
+        self, connection: http1_client.Connection
+    ) -> response_receiver.ResponseReceiver:
+        return response_receiver.ResponseReceiver(
+            core=self._core,
+            call=self._call,
+            history=self._history,
+            endpoint=self._endpoint,
+            connection=connection,
+        )
+
     async def _read_head(
         self, connection: http1_client.Connection
     ) -> http1_client.ResponseHead:
@@ -147,7 +144,7 @@
         call = self._call
         last_event_id = b''
         if self._history.head_delivered:
-            last_event_id = call.splitter.last_id
+            last_event_id = call.stream.last_id
         return self._core.forwarding.request_headers(
             call.request,
             endpoint=self._endpoint,
@@ -196,72 +193,6 @@
             return outcome.AttemptResult.GROUP_UNAVAILABLE
         return outcome.AttemptResult.DECLINED
 
-    def _is_event_stream(self, status: int) -> bool:
-        kind = self._history.route.kind
-        return kind is plan_module.Kind.STREAMING and status == 200
-
-    async def _buffer_response(
-        self,
-        head: http1_client.ResponseHead,
-        connection: http1_client.Connection,
-    ) -> outcome.AttemptResult:
-        """Buffer a response until it is complete."""
-        parts: list[bytes] = []
-        size = 0
-        while (data := await connection.read_data()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BUFFERED_BYTES:
-                return outcome.AttemptResult.LOST
-        if self._history.head_delivered:
-            # An error response cannot continue a stream.
-            return outcome.AttemptResult.FAILED
-        self._call.buffered_response = call_module.BufferedResponse(
-            status=head.status_code,
-            headers=list(head.headers),
-            body=b''.join(parts),
-        )
-        if head.status_code < 500:
-            return outcome.AttemptResult.ANSWERED
-        return outcome.AttemptResult.FAILED
-
-    async def _forward_stream(
-        self,
-        head: http1_client.ResponseHead,
-        connection: http1_client.Connection,
-    ) -> outcome.AttemptResult:
-        """Forward the events of a stream, each once it is complete."""
-        response, splitter = self._call.response, self._call.splitter
-        splitter.discard_partial_event()
-        while (data := await connection.read_data()) is not None:
-            complete = splitter.feed(data)
-            if complete:
-                self._start_stream(head)
-                response.write(complete)
-                await response.drain()
-            if splitter.is_oversized:
-                return outcome.AttemptResult.OVERSIZED
-        self._start_stream(head)
-        if splitter.partial_event:
-            response.write(splitter.partial_event)
-        response.end()
-        return outcome.AttemptResult.ANSWERED
-
-    def _start_stream(self, head: http1_client.ResponseHead) -> None:
-        if self._history.head_delivered:
-            return
-        self._history.head_delivered = True
-        self._core.outages.record_recovery(
-            self._call.service, self._endpoint.group
-        )
-        headers = self._core.forwarding.response_headers(
-            list(head.headers), length=None
-        )
-        self._core.metrics.record_latency(
-            'first-event', self._call.organisation, self._call.age
-        )
-        self._call.response.start(head.status_code, headers)
-
     def _update_state(self, result: outcome.AttemptResult) -> None:
         """Update the state of the endpoint or its group."""
         now = self._core.clock.now()
--- a/src/aspenfold/_internal/gateway/call.py
+++ b/src/aspenfold/_internal/gateway/call.py
@@ -24,8 +24,8 @@
 class Call:
     """A request in progress.
 
-    ``response`` writes to the caller.  ``splitter`` splits a streamed
-    response into events and is kept through all attempts.
+    ``response`` writes to the caller.  ``stream`` holds the events of a
+    streamed response and is kept through all attempts.
     ``buffered_response`` is the latest complete response that was not
     forwarded yet.  ``response_end`` is how the response of the latest attempt
     ended, None if none began.
@@ -38,8 +38,8 @@
     deadline: datetime.datetime
     organisation: str = ''
     service: str = ''
-    splitter: event_stream.EventSplitter = dataclasses.field(
-        default_factory=event_stream.EventSplitter
+    stream: event_stream.EventStream = dataclasses.field(
+        default_factory=event_stream.EventStream
     )
     buffered_response: BufferedResponse | None = None
     response_end: end_module.ResponseEnd | None = None
--- a/src/aspenfold/_internal/gateway/event_stream.py
+++ b/src/aspenfold/_internal/gateway/event_stream.py
@@ -1,43 +1,31 @@
-"""Splits a server-sent event stream into complete events.
+"""The events of a streamed response, from all attempts at it.
 
-Events are forwarded byte for byte, each once it is complete, so that an
+Events are forwarded byte for byte, each once it is whole, so that an
 interrupted stream can be resumed at another endpoint with the next event.
 """
 
 import re
 
-MAX_EVENT_BYTES = 1_048_576
-"""Size limit of one event; a stream that exceeds it is aborted, since an
-endpoint that never ends one would fill the memory.  Events are under 1 KB."""
+from aspenfold._internal.network import event_splitter
 
-_EVENT_END = re.compile(rb'\r?\n\r?\n')
 _ID_FIELD = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
 
-class EventSplitter:
-    """Splits bytes into complete events and records the last event's id.
+class EventStream:
+    """Records the last event's id and drops events that are repeated.
 
-    ``events`` counts the events with an id that were returned.
+    ``events`` counts the events with an id that were returned; ``splitter``
+    is that of the current attempt.
     """
 
     def __init__(self, *, last_id: bytes = b'') -> None:
         self.last_id = last_id
         self.events = 0
-        self._partial = b''
+        self.splitter = event_splitter.EventSplitter()
 
-    @property
-    def is_oversized(self) -> bool:
-        """Whether the incomplete event exceeds MAX_EVENT_BYTES."""
-        return len(self._partial) > MAX_EVENT_BYTES
-
-    @property
-    def partial_event(self) -> bytes:
-        """The bytes of the event that is still incomplete."""
-        return self._partial
-
-    def discard_partial_event(self) -> None:
-        """Discard the incomplete event."""
-        self._partial = b''
+    def begin_attempt(self) -> None:
+        """Discard the unfinished event of the attempt before."""
+        self.splitter = event_splitter.EventSplitter()
 
     def feed(self, data: bytes) -> bytes:
         """Return the concatenated events that ``data`` completes.
@@ -45,16 +33,8 @@
         Events with an id up to :attr:`last_id` are skipped, because a
         resumed stream may repeat them.
         """
-        self._partial += data
-        complete: list[bytes] = []
-        start = 0
-        for match in _EVENT_END.finditer(self._partial):
-            event = self._partial[start : match.end()]
-            start = match.end()
-            if self._is_new(event):
-                complete.append(event)
-        self._partial = self._partial[start:]
-        return b''.join(complete)
+        events = self.splitter.feed(data)
+        return b''.join(event for event in events if self._is_new(event))
 
     def _is_new(self, event: bytes) -> bool:
         match = _ID_FIELD.search(event)
--- /dev/null
+++ b/src/aspenfold/_internal/network/event_splitter.py
@@ -0,0 +1,60 @@
+"""Splits a server-sent event stream into whole events, byte for byte.
+
+See the HTML standard, section "Server-sent events": a blank line ends an
+event, and lines that start with a colon are comments.
+"""
+
+import re
+
+MAX_EVENT_BYTES = 1_048_576
+"""Size limit of one event; a stream that exceeds it is aborted, since an
+endpoint that never ends one would fill the memory.  Events are under 1 KB."""
+
+MEDIA_TYPE = 'text/event-stream'
+
+_EVENT_END = re.compile(rb'\r?\n\r?\n|\r\r')
+_FIELD = re.compile(rb'^[^:\r\n]', re.MULTILINE)
+_NO_FIELDS = re.compile(rb'(?:(?::[^\r\n]*)?(?:\r\n|\r|\n))*')
+
+
+def is_event_stream(content_type: str) -> bool:
+    """Return whether a Content-Type header names an event stream."""
+    media_type = content_type.partition(';')[0]
+    return media_type.strip().lower() == MEDIA_TYPE
+
+
+class EventSplitter:
+    """Splits the bytes of one stream into events.
+
+    ``unfinished`` holds the bytes behind the last whole event;
+    ``has_events`` is whether there was an event other than comments.
+    """
+
+    def __init__(self) -> None:
+        self.unfinished = b''
+        self.has_events = False
+
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the unfinished bytes exceed MAX_EVENT_BYTES."""
+        return len(self.unfinished) > MAX_EVENT_BYTES
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the stream was broken off if it ends here.
+
+        Blank lines and whole comment lines may follow the last event.
+        """
+        return _NO_FIELDS.fullmatch(self.unfinished) is None
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the events that ``data`` completes."""
+        self.unfinished += data
+        events: list[bytes] = []
+        start = 0
+        for match in _EVENT_END.finditer(self.unfinished):
+            events.append(self.unfinished[start : match.end()])
+            start = match.end()
+        self.unfinished = self.unfinished[start:]
+        self.has_events = self.has_events or any(map(_FIELD.search, events))
+        return events
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -7,7 +7,7 @@
 from aspenfold_standins import platform_worker as workers
 import pytest
 
-from aspenfold._internal.gateway import event_stream
+from aspenfold._internal.network import event_splitter
 from tests.lib import gateway_rig as rigs
 
 SEAL_HEADER = 'x-aspenfold-response-seal'
@@ -539,7 +539,7 @@
     lines += ['content-type: text/event-stream']
     head = '\r\n'.join(['HTTP/1.1 200 OK', *lines])
     await exchange.write(head.encode() + b'\r\n\r\n' + workers.event_bytes(1))
-    for _ in range(4 * event_stream.MAX_EVENT_BYTES // ENDLESS_PART):
+    for _ in range(4 * event_splitter.MAX_EVENT_BYTES // ENDLESS_PART):
         await exchange.write(b'x' * ENDLESS_PART)
     await asyncio.Event().wait()
 
--- a/tests/functional/test_gateway_response_ends.py
+++ b/tests/functional/test_gateway_response_ends.py
@@ -50,20 +50,6 @@
     )
 
 
-def whole(
-    content: bytes,
-    framing: workers.Framing = workers.Framing.CLOSE,
-    content_type: str = 'text/event-stream',
-) -> workers.BrokenStream:
-    """Return the script of a response that is not broken off."""
-    return workers.BrokenStream(
-        framing=framing,
-        size=len(content),
-        content=content,
-        content_type=content_type,
-    )
-
-
 @pytest.mark.parametrize('framing', FRAMINGS)
 def test_the_end_of_a_response_is_logged_and_counted(
     framing: workers.Framing,
@@ -200,3 +186,136 @@
         assert not response.complete
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize(
+    'content',
+    [
+        STREAM,
+        STREAM + b'\n',
+        STREAM + b': end\n',
+        STREAM + b': end\n\n',
+        STREAM.replace(b'\n', b'\r\n'),
+        STREAM.replace(b'\n', b'\r'),
+    ],
+    ids=['plain', 'blank-line', 'comment-line', 'comment', 'crlf', 'cr'],
+)
+def test_a_whole_stream_is_delivered_as_whole(
+    framing: workers.Framing, content: bytes
+) -> None:
+    """Byte by byte, so that each line end is split between two reads."""
+    script = workers.BrokenStream(
+        framing=framing, size=len(content), step=1, content=content
+    )
+
+    async def scenario(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1', script)
+        await rig.wait_until_ready()
+        response = await rig.request('/song/', body='x')
+        assert response.complete
+        assert response.body == content
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize(
+    ('status', 'content_type'),
+    [(200, 'application/json'), (500, ''), (404, 'text/plain')],
+)
+def test_other_responses_of_a_streaming_route_are_delivered(
+    framing: workers.Framing, status: int, content_type: str
+) -> None:
+    """They are no event streams, so that any body may be whole."""
+    script = workers.BrokenStream(
+        framing=framing,
+        size=9,
+        content=b'{"no": 1}',
+        content_type=content_type,
+        status=status,
+    )
+
+    async def scenario(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1', script)
+        await rig.wait_until_ready()
+        response = await rig.request('/song/', body='x')
+        assert response.complete
+        assert (response.status, response.body) == (status, b'{"no": 1}')
+        assert response.headers['content-length'] == '9'
+
+    run_scenario(scenario)
+
+
+def test_a_stream_of_unknown_type_is_split_into_events() -> None:
+    """A streaming route's response is an event stream unless it says no."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        script = workers.BrokenStream(
+            framing=workers.Framing.CLOSE,
+            size=INSIDE_LAST,
+            content=STREAM,
+            content_type='',
+        )
+        await rig.add_worker('w-1', script)
+        await rig.wait_until_ready()
+        response = await rig.request('/song/', body='x')
+        assert not response.complete
+        assert response.body == b''.join(EVENTS[:-1])
+
+    run_scenario(scenario)
+
+
+def test_a_caller_that_resumes_gets_what_follows_its_last_event() -> None:
+    """The endpoint that goes on is asked for the events behind it, too."""
+    rest = b''.join(EVENTS[6:])
+
+    async def scenario(rig: rigs.Rig) -> None:
+        first = broken_off(size=3, content=rest)
+        await add_pair(rig, first, workers.stream_events)
+        for _ in range(64):
+            response = await rig.request(
+                '/stream/', body='x', Last_Event_Id='6'
+            )
+            assert response.complete
+            assert response.body == rest
+            if rig.workers[0].requests:
+                break
+        assert rig.workers[1].requests[-1].headers['last-event-id'] == '6'
+
+    run_scenario(scenario)
+
+
+def test_retries_of_streams_that_break_together_stay_in_the_budget() -> None:
+    """All endpoints break their streams off; each call ends at once."""
+    calls = 20
+
+    async def scenario(rig: rigs.Rig) -> None:
+        await add_pair(rig, broken_off(), broken_off())
+        responses = await asyncio.gather(
+            *(rig.request('/stream/', body='x') for _ in range(calls))
+        )
+        assert not any(response.complete for response in responses)
+        retries = sum(len(w.requests) for w in rig.workers) - calls
+        assert 1 <= retries <= calls * 0.2 + 90 / 40
+
+    run_scenario(scenario)
+
+
+def test_a_broken_stream_is_no_outage_of_its_group() -> None:
+    """The other ranks go on, and so does the next request."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        for name in ('w-1', 'w-2'):
+            await rig.add_worker(name, broken_off(), 'model')
+        await rigs.wait_until(lambda: rig.gateway.endpoints == 2)
+        await rig.wait_until_ready()
+        for number in (1, 2):
+            response = await rig.request('/model/', body='x')
+            assert response.status == 200
+            assert not response.complete
+            assert sum(len(w.requests) for w in rig.workers) == number
+        assert rig.gateway.outage('model').ended_at is None
+        assert b'groups_standing 0.0' in await rigs.metrics(rig)
+
+    run_scenario(scenario)
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -43,27 +43,27 @@
     text = b''.join(
         f'id: {n}\ndata: {"x" * (n % 5)}\n\n'.encode() for n in range(count)
     )
-    splitter = event_stream.EventSplitter()
+    stream = event_stream.EventStream()
     forwarded = b''
     rest = text
     while rest:
         size = data.draw(st.integers(1, len(rest)))
-        part = splitter.feed(rest[:size])
+        part = stream.feed(rest[:size])
         assert not part or part.endswith(b'\n\n')
         forwarded += part
         rest = rest[size:]
     assert forwarded == text
-    assert splitter.events == count
+    assert stream.events == count
 
 
 @hypothesis.given(st.integers(0, 9), st.integers(0, 9))
 def test_a_resumed_stream_repeats_no_event(cut: int, back: int) -> None:
     """The next endpoint may start at an earlier event."""
     events = [f'id: {n}\ndata: {n}\n\n'.encode() for n in range(1, 11)]
-    splitter = event_stream.EventSplitter()
-    forwarded = splitter.feed(b''.join(events[:cut]) + events[cut][:6])
-    splitter.discard_partial_event()
-    forwarded += splitter.feed(b''.join(events[max(0, cut - back) :]))
+    stream = event_stream.EventStream()
+    forwarded = stream.feed(b''.join(events[:cut]) + events[cut][:6])
+    stream.begin_attempt()
+    forwarded += stream.feed(b''.join(events[max(0, cut - back) :]))
     assert forwarded == b''.join(events)
 
 
