Deliver no stream as complete whose connection ended before any event

Callers saw: an empty stream with status 200, as complete, after an endpoint had ended its connection behind the head; another one was free. A stream that had been broken off and whose second endpoint ended so was ended as whole too.

Cause: the same as of streams that end inside an event. Such a body has no length and no chunks, so that HTTP calls it complete, and no place asked whether anything of what was due had come.

A stream has events, unless its caller goes on behind one that may have been the last. So an unframed response without any is lost; a length or a last chunk would state that there are none, and is believed.

--- a/src/aspenfold/_internal/gateway/response_end.py
+++ b/src/aspenfold/_internal/gateway/response_end.py
@@ -7,6 +7,9 @@
 INSIDE_EVENT = 'inside-event'
 """Kind of end of a body that HTTP calls complete but that ends in an event."""
 
+WITHOUT_EVENTS = 'without-events'
+"""Kind of end of a stream that its connection ended before any event."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ResponseEnd:
@@ -15,20 +18,22 @@
     ``events`` is how many events with an id the caller has received, from
     all attempts; ``unfinished_bytes`` is the size of what followed the last
     whole event, and ``is_inside_event`` whether that is a part of an event.
-    They are 0 and False for a response that is not an event stream.
+    ``lacks_events`` is whether events were due and none came.  All are 0 or
+    False for a response that is not an event stream.
     """
 
     body_end: body_end.BodyEnd
     events: int = 0
     unfinished_bytes: int = 0
     is_inside_event: bool = False
+    lacks_events: bool = False
 
     @property
     def is_whole(self) -> bool:
         """Whether the caller may get the response as a complete one."""
         return (
             self.body_end in body_end.COMPLETE_ENDS
-            and not self.is_inside_event
+            and self.kind == self.body_end.value
         )
 
     @property
@@ -36,6 +41,9 @@
         """The kind of end, for metrics."""
         if self.body_end in body_end.COMPLETE_ENDS and self.is_inside_event:
             return INSIDE_EVENT
+        # A length or a last chunk would state that nothing more was due.
+        if self.body_end is body_end.BodyEnd.CLOSE and self.lacks_events:
+            return WITHOUT_EVENTS
         return self.body_end.value
 
     def log_fields(self) -> dict[str, object]:
--- a/src/aspenfold/_internal/gateway/response_receiver.py
+++ b/src/aspenfold/_internal/gateway/response_receiver.py
@@ -7,7 +7,6 @@
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import response_end
-from aspenfold._internal.network import body_end as body_end_module
 from aspenfold._internal.network import event_splitter
 from aspenfold._internal.network import http1_client
 
@@ -105,7 +104,9 @@
                 if stream.splitter.is_oversized:
                     return outcome.AttemptResult.OVERSIZED
         finally:
-            end = self._record_end(stream.splitter)
+            end = self._record_end(
+                stream.splitter, expects_events=self._expects_events()
+            )
         if end is None or not end.is_whole:
             return outcome.AttemptResult.LOST
         self._start_stream(head)
@@ -115,6 +116,16 @@
         response.end()
         return outcome.AttemptResult.ANSWERED
 
+    def _expects_events(self) -> bool:
+        """Return whether a stream without any event misses some.
+
+        A caller that goes on behind an event may have had the last one.
+        """
+        last_event_id = self._call.request.header(
+            self._core.header_names.last_event_id
+        )
+        return self._history.head_delivered or not last_event_id
+
     def _start_stream(self, head: http1_client.ResponseHead) -> None:
         if self._history.head_delivered:
             return
@@ -131,13 +142,24 @@
         self._call.response.start(head.status_code, headers)
 
     def _record_end(
-        self, splitter: event_splitter.EventSplitter | None
+        self,
+        splitter: event_splitter.EventSplitter | None,
+        *,
+        expects_events: bool = False,
     ) -> response_end.ResponseEnd | None:
         """Record how the body ended; return None if it has not."""
         body_end = self._connection.body_end
         if body_end is None:
             return None
-        end = _response_end(body_end, self._call.stream.events, splitter)
+        end = response_end.ResponseEnd(body_end=body_end)
+        if splitter is not None:
+            end = response_end.ResponseEnd(
+                body_end=body_end,
+                events=self._call.stream.events,
+                unfinished_bytes=len(splitter.unfinished),
+                is_inside_event=splitter.is_inside_event,
+                lacks_events=expects_events and not splitter.has_events,
+            )
         record_end(self._core, self._call, end)
         return end
 
@@ -150,18 +172,3 @@
     """Keep the end of the attempt's response for the log, and count it."""
     call.response_end = end
     core.metrics.increment('response_ends', end.kind)
-
-
-def _response_end(
-    body_end: body_end_module.BodyEnd,
-    events: int,
-    splitter: event_splitter.EventSplitter | None,
-) -> response_end.ResponseEnd:
-    if splitter is None:
-        return response_end.ResponseEnd(body_end=body_end)
-    return response_end.ResponseEnd(
-        body_end=body_end,
-        events=events,
-        unfinished_bytes=len(splitter.unfinished),
-        is_inside_event=splitter.is_inside_event,
-    )
