Reset the connection of a broken response that it would complete

Callers of HTTP/1.0 saw: every stream that the gateway broke off, and each that a killed gateway left behind, as complete.

Cause: such a caller gets neither a length nor chunks, so that the end of the connection ends the body; the gateway ended a broken response by closing in order, which means complete.

The socket resets on close from the head on, until the response ends, so that also the end of the process tells. Whole responses still end in order (test).

--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -11,6 +11,7 @@
 import datetime
 import http
 import socket
+import struct
 import typing
 
 import h11
@@ -34,6 +35,11 @@
 TCP_USER_TIMEOUT_MS = 10_000
 """The connection is reset if sent bytes stay unacknowledged for longer."""
 
+LINGER_RESET = struct.pack('ii', 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
+
+LINGER_DEFAULT = struct.pack('ii', 0, 0)
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -73,7 +79,11 @@
         """Whether the status line and headers were sent."""
 
     def start(self, status: int, headers: Headers) -> None:
-        """Send the head; without a content-length the body is chunked."""
+        """Send the head.
+
+        Without a content-length the body is chunked, or ends with the
+        connection if the caller speaks HTTP/1.0.
+        """
 
     def write(self, body: bytes) -> None:
         """Send a part of the body."""
@@ -125,6 +135,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._remote_ip = ''
+        self._resets_on_close = False
         self.started = False
 
     def _new_parser(self) -> h11.Connection:
@@ -332,11 +343,19 @@
             self._transport.close()
 
     def start(self, status: int, headers: Headers) -> None:
-        """Send the head; without a content-length the body is chunked."""
+        """Send the head.
+
+        Without a content-length the body is chunked, or ends with the
+        connection if the caller speaks HTTP/1.0.
+        """
         reason = http.HTTPStatus(status).phrase.encode()
         if self._owner.closing:
             headers = [*headers, (b'connection', b'close')]
         self.started = True
+        self._resets_on_close = self._ends_with_connection(headers)
+        if self._resets_on_close:
+            # The end of this process before end() is a reset, too.
+            self._set_linger(LINGER_RESET)
         self._send(
             h11.Response(status_code=status, headers=headers, reason=reason)
         )
@@ -348,9 +367,28 @@
     def end(self) -> None:
         """Mark the response as complete."""
         self._send(h11.EndOfMessage())
+        if self._resets_on_close:
+            self._resets_on_close = False
+            self._set_linger(LINGER_DEFAULT)
+
+    def _ends_with_connection(self, headers: Headers) -> bool:
+        """Return whether an orderly close would complete the response."""
+        version = self._parser.their_http_version or b''
+        has_length = any(name == b'content-length' for name, _ in headers)
+        return version < b'1.1' and not has_length
+
+    def _set_linger(self, value: bytes) -> None:
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info('socket')
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     def abort(self) -> None:
-        """Close the connection, leaving the response incomplete."""
+        """Close the connection, leaving the response incomplete.
+
+        If an orderly close would complete it, the connection is reset.
+        """
         if self._transport is not None:
             self._transport.close()
 
--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -1,6 +1,9 @@
 """``aspenfold-gateway`` as a process: settings, signals, logs, metrics."""
 
 import asyncio
+from collections import abc
+import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -81,11 +84,21 @@
     handle.close()
 
 
-async def run_program(tmp_path: pathlib.Path) -> tuple[int, str]:
-    """Send the program a stream request, SIGHUP and SIGTERM.
+@dataclasses.dataclass(kw_only=True)
+class Program:
+    """A gateway program that is ready, with its store and one endpoint."""
 
-    Return its exit status and output.
-    """
+    rig: rigs.Rig
+    worker: workers.Worker
+    process: asyncio.subprocess.Process
+    callers_port: int
+
+
+@contextlib.asynccontextmanager
+async def running_program(
+    tmp_path: pathlib.Path,
+) -> abc.AsyncIterator[Program]:
+    """Run the program in front of an endpoint that streams slowly."""
     rig = rigs.Rig()
     await rig.store.start()
     await rig.write_plan(rigs.make_plan())
@@ -109,6 +122,24 @@
     )
     try:
         await wait_ready(health)
+        yield Program(
+            rig=rig, worker=worker, process=process, callers_port=callers
+        )
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        await worker.stop()
+        await rig.store.stop()
+
+
+async def run_program(tmp_path: pathlib.Path) -> tuple[int, str]:
+    """Send the program a stream request, SIGHUP and SIGTERM.
+
+    Return its exit status and output.
+    """
+    async with running_program(tmp_path) as program:
+        process, worker = program.process, program.worker
         status, text = await get(settings.METRICS_PORT, '/metrics')
         assert status == 200
         for name in (
@@ -125,8 +156,10 @@
         ):
             assert f'aspenfold_{name}'.encode() in text, name
         process.send_signal(signal.SIGHUP)
-        reader, writer = await asyncio.open_connection(ADDRESS, callers)
-        writer.write(rig.request_head('/stream/')[1])
+        reader, writer = await asyncio.open_connection(
+            ADDRESS, program.callers_port
+        )
+        writer.write(program.rig.request_head('/stream/')[1])
         await rigs.wait_until(lambda: worker.executions)
         process.send_signal(signal.SIGTERM)
         process.send_signal(signal.SIGTERM)
@@ -139,12 +172,29 @@
         )
         await repeated_signals
         return process.returncode or 0, output.decode()
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
-        await worker.stop()
-        await rig.store.stop()
+
+
+@pytest.mark.parametrize('version', [b'HTTP/1.0', b'HTTP/1.1'])
+def test_a_killed_program_leaves_no_response_that_looks_complete(
+    version: bytes, tmp_path: pathlib.Path
+) -> None:
+    """Nothing in the process can tell the caller any more."""
+
+    async def run() -> None:
+        async with running_program(tmp_path) as program:
+            reader, writer = await asyncio.open_connection(
+                ADDRESS, program.callers_port
+            )
+            _, head = program.rig.request_head('/stream/')
+            writer.write(head.replace(b'HTTP/1.1', version))
+            await rigs.wait_until(lambda: program.worker.executions)
+            await asyncio.sleep(2 * program.worker.event_interval_s)
+            program.process.kill()
+            response = await rigs.read_response(reader)
+            assert response.status == 200
+            assert not response.complete
+
+    asyncio.run(run())
 
 
 def test_program_serves_reloads_and_drains(tmp_path: pathlib.Path) -> None:
--- a/tests/functional/test_gateway_response_ends.py
+++ b/tests/functional/test_gateway_response_ends.py
@@ -200,15 +200,19 @@
     run_scenario(scenario)
 
 
+async def request_by_http_1_0(rig: rigs.Rig, path: str) -> rigs.Response:
+    """Send a request of HTTP/1.0 and return the response."""
+    _, head = rig.request_head(path, body='x')
+    return await rig.send(head.replace(b'HTTP/1.1', b'HTTP/1.0') + b'x')
+
+
 def test_a_caller_of_http_1_0_sees_a_broken_stream_as_broken() -> None:
     """Its responses end with the connection, so that only a reset tells."""
 
     async def scenario(rig: rigs.Rig) -> None:
         await rig.add_worker('w-1', workers.stream_then_reset)
         await rig.wait_until_ready()
-        _, head = rig.request_head('/song/', body='x')
-        head = head.replace(b'HTTP/1.1', b'HTTP/1.0')
-        response = await rig.send(head + b'x')
+        response = await request_by_http_1_0(rig, '/song/')
         assert response.status == 200
         assert STREAM.startswith(response.body)
         assert not response.complete
@@ -216,6 +220,23 @@
     run_scenario(scenario)
 
 
+def test_a_caller_of_http_1_0_gets_whole_responses_as_whole() -> None:
+    """The connection ends in order, without a reset."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1', workers.stream_events)
+        await rig.wait_until_ready()
+        response = await request_by_http_1_0(rig, '/song/')
+        assert response.complete
+        assert response.body == STREAM
+        worker.script = workers.complete
+        response = await request_by_http_1_0(rig, '/safe/')
+        assert response.complete
+        assert response.body == b'answer of w-1'
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize('framing', FRAMINGS)
 @pytest.mark.parametrize(
     'content',
