Take no response of the store for a page that is incomplete

What callers could see: a plan or an endpoint's entry cut short and its offset passed, so that it was missing until it was written again; or a gateway that read nothing more, as the error ended its feed.

A body without length and chunks is complete as HTTP wherever its connection ends, and the decoder took a record's length for the number of bytes that it got. Other cuts raised struct.error or JSONDecodeError, which no feed expects.

Decoding stands in a module of its own, checks each length, and says that the store did not answer; the feeds then read again, as they do after a lost answer. Whether the store ever sends such bodies is not known.

--- a/src/aspenfold/platform/store.py
+++ b/src/aspenfold/platform/store.py
@@ -1,29 +1,20 @@
 """HTTP client of the platform's store."""
 
 import asyncio
-import base64
 import collections
 import datetime
-import struct
 import urllib.parse
 
-import orjson
-
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.network import http1_client
+from aspenfold.platform import store_pages
 
 CONNECT_TIMEOUT_S = 0.4
 
 CALL_TIMEOUT_S = 0.7
 """Longer than a slow store takes to respond: some 60 times its usual 4 ms."""
 
-PAGE_HEADER = struct.Struct('>QQ')
-"""Starts a page: end offset and oldest kept offset of the partition."""
-
-RECORD_LENGTH = struct.Struct('>I')
-"""Precedes each record: its size in bytes."""
-
 MAX_IDLE_CONNECTIONS = 2
 """Connections kept open for later calls, one for each feed."""
 
@@ -50,18 +41,11 @@
             if after:
                 query['after'] = after
             body = await self._get('/api/log-newest', query, 0.0)
-            page = orjson.loads(body)
-            for item in page['items']:
-                records.append(
-                    ports.Record(
-                        offset=item['offset'],
-                        key=item['key'],
-                        value=base64.b64decode(item['value']),
-                    )
-                )
-            if not page['truncated'] or not page['items']:
-                return ports.Page(records=tuple(records), end=page['end'])
-            after = page['items'][-1]['key']
+            page = store_pages.decode_message(store_pages.NewestPage, body)
+            records += page.records()
+            if not page.truncated or not page.items:
+                return ports.Page(records=tuple(records), end=page.end)
+            after = page.items[-1].key
 
     async def read(
         self, topic: str, offset: int, wait: datetime.timedelta
@@ -75,17 +59,7 @@
         if wait_s:
             query['wait_ms'] = str(int(wait_s * 1000))
         body = await self._get('/api/log-read', query, wait_s)
-        end, _first = PAGE_HEADER.unpack_from(body)
-        records = []
-        position = PAGE_HEADER.size
-        while position < len(body):
-            (length,) = RECORD_LENGTH.unpack_from(body, position)
-            position += RECORD_LENGTH.size
-            content = body[position : position + length]
-            position += length
-            records.append(_decode_record(offset, content))
-            offset += 1
-        return ports.Page(records=tuple(records), end=end)
+        return store_pages.decode_page(body, offset)
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_offset: int
@@ -115,13 +89,18 @@
             query['expected_offset'] = str(expected_offset)
         target = f'/api/log-append?{urllib.parse.urlencode(query)}'
         content = bytes([len(key)]) + key.encode() + value
-        body = RECORD_LENGTH.pack(len(content)) + content
+        body = store_pages.RECORD_LENGTH.pack(len(content)) + content
         status, response = await self._call(b'POST', target, body, 0.0)
         if status == 200:
-            return int(orjson.loads(response)['offset'])
+            appended = store_pages.decode_message(
+                store_pages.Appended, response
+            )
+            return appended.offset
         if status == 412:
-            end = int(orjson.loads(response)['end'])
-            raise ports.AppendConflict(end=end)
+            conflict = store_pages.decode_message(
+                store_pages.Conflict, response
+            )
+            raise ports.AppendConflict(end=conflict.end)
         raise ports.StoreUnavailable(f'the append returned status {status}')
 
     def reset_connections(self) -> None:
@@ -138,7 +117,8 @@
         if status == 200:
             return body
         if status == 410:
-            raise ports.HistoryTrimmed(first=int(orjson.loads(body)['first']))
+            trimmed = store_pages.decode_message(store_pages.Trimmed, body)
+            raise ports.HistoryTrimmed(first=trimmed.first)
         raise ports.StoreUnavailable(f'{path} returned status {status}')
 
     async def _call(
@@ -185,14 +165,3 @@
         return await http1_client.connect(
             self._address.host, self._address.port, CONNECT_TIMEOUT_S
         )
-
-
-def _decode_record(offset: int, content: bytes) -> ports.Record:
-    """Decode a record: the key's length, the key, and the value.
-
-    An empty value removes the key.
-    """
-    length = content[0]
-    key = content[1 : 1 + length].decode()
-    value = content[1 + length :]
-    return ports.Record(offset=offset, key=key, value=value or None)
--- a/tests/unit/test_store_client.py
+++ b/tests/unit/test_store_client.py
@@ -100,7 +100,15 @@
 
 def test_an_invalid_list_is_no_list() -> None:
     """The feeds go on with what they know, and read again."""
-    bodies = [b'{"items": [', b'[]', b'{}', b'{"items": [1], "end": 0}', b'']
+    bodies = [
+        b'{"items": [',
+        b'[]',
+        b'{}',
+        b'{"items": [1], "truncated": false, "end": 0}',
+        b'{"items": [{"key": "a", "value": "a", "offset": 1}], '
+        b'"truncated": false, "end": 0}',
+        b'',
+    ]
     accepted = []
 
     for body in bodies:
