Read the store on from behind the last record that arrived

What could be seen: records that were never read. A page ends before its topic does if it reaches its size limit of 1 MB, or if its connection ends between two records; the plan feed (with an empty page), the list of gateways and the lease then went on at the topic's end, which the page's header names. A list of several pages ended where the last one did, so that a key of the first page that changed meanwhile was passed over.

Cause: the end of what was received was taken from what the store says of the topic, not from what had arrived.

--- a/src/aspenfold/_internal/gateway/ports.py
+++ b/src/aspenfold/_internal/gateway/ports.py
@@ -49,7 +49,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Page:
-    """Records of a topic that ends at the offset ``end``."""
+    """Records of a topic; records from the offset ``end`` on may follow."""
 
     records: tuple[Record, ...]
     end: int
--- a/src/aspenfold/platform/store.py
+++ b/src/aspenfold/platform/store.py
@@ -35,6 +35,7 @@
         Raises ports.StoreUnavailable.
         """
         records: list[ports.Record] = []
+        ends = []
         after = ''
         while True:
             query = {'topic': topic, 'part': '0'}
@@ -43,8 +44,10 @@
             body = await self._get('/api/log-newest', query, 0.0)
             page = store_pages.decode_message(store_pages.NewestPage, body)
             records += page.records()
+            ends.append(page.end)
             if not page.truncated or not page.items:
-                return ports.Page(records=tuple(records), end=page.end)
+                # Keys of the first page may have changed since.
+                return ports.Page(records=tuple(records), end=ends[0])
             after = page.items[-1].key
 
     async def read(
--- a/src/aspenfold/platform/store_pages.py
+++ b/src/aspenfold/platform/store_pages.py
@@ -1,4 +1,8 @@
-"""Decodes the store's responses; one that is incomplete is an error."""
+"""Decodes the store's responses; one that is incomplete is an error.
+
+A page of records may end between two records, by its size limit or with its
+connection: reading goes on behind the last one.
+"""
 
 import struct
 import typing
@@ -77,18 +81,17 @@
 def decode_page(body: bytes, offset: int) -> ports.Page:
     """Return the records of a page that was read from ``offset`` on.
 
-    Raises ports.StoreUnavailable.
+    The page ends behind its last record.  Raises ports.StoreUnavailable.
     """
     if len(body) < PAGE_HEADER.size:
         raise ports.StoreUnavailable('a page ends inside its header')
-    end, _first = PAGE_HEADER.unpack_from(body)
     records: list[ports.Record] = []
     position = PAGE_HEADER.size
     while position < len(body):
         content = _record_content(body, position)
         records.append(_decode_record(offset + len(records), content))
         position += RECORD_LENGTH.size + len(content)
-    return ports.Page(records=tuple(records), end=end)
+    return ports.Page(records=tuple(records), end=offset + len(records))
 
 
 def _record_content(body: bytes, position: int) -> bytes:
