Fail a response whose connection this side closes

What could be seen: part of the store's page taken for the whole page, when the endpoint feed closed all connections after a failed call of its own while the plan feed was reading.

Cause: the client took its own close for the peer's, which completes a body without length and chunks.

Closing now ends what is being read as abandoned, at once.

--- a/src/aspenfold/_internal/network/body_end.py
+++ b/src/aspenfold/_internal/network/body_end.py
@@ -30,6 +30,9 @@
     INVALID = 'invalid'
     """The peer sent bytes that are not HTTP."""
 
+    ABANDONED = 'abandoned'
+    """This side closed the connection before the body was complete."""
+
 
 COMPLETE_ENDS = frozenset({BodyEnd.LENGTH, BodyEnd.CHUNKS, BodyEnd.CLOSE})
 """Ends after which HTTP calls a body complete."""
--- a/src/aspenfold/_internal/network/http1_client.py
+++ b/src/aspenfold/_internal/network/http1_client.py
@@ -55,6 +55,7 @@
         self._buffered = 0
         self._closed = False
         self._reset = False
+        self._abandoned = False
         self._paused = False
         self._method = b''
         self._complete_end = body_end.BodyEnd.LENGTH
@@ -184,6 +185,8 @@
     def close(self) -> None:
         """Close at once, aborting a request in progress."""
         self._closed = True
+        self._abandoned = True
+        self._wake()
         if self._transport is not None:
             self._transport.abort()
 
@@ -224,6 +227,11 @@
                     'connection reset before the end of the response',
                     body_end.BodyEnd.RESET,
                 )
+            if self._abandoned:
+                raise self._lost(
+                    'connection closed by this side',
+                    body_end.BodyEnd.ABANDONED,
+                )
             if self._closed:
                 self._parser.receive_data(b'')
                 return
