Make no item of a part of an endpoint's event

Callers could see: an item cut short, and behind it the rest of the answer from another endpoint, which resumes behind the items that were delivered.

The library that parses an endpoint's stream yields what is left at the end of the connection as an event.

The parser gets whole events only, split by the code that the gateway uses. The digest of an answer did not show it, as it covers what was cut.

--- a/src/aspenfold/_internal/network/endpoint_client.py
+++ b/src/aspenfold/_internal/network/endpoint_client.py
@@ -16,6 +16,7 @@
 
 from aspenfold._internal import exceptions
 from aspenfold._internal.kernel import frames
+from aspenfold._internal.network import event_splitter
 from aspenfold._internal.network import http
 
 STREAM_END = '[DONE]'
@@ -165,7 +166,7 @@
         )
         content_type = response.headers.get('Content-Type', '')
         head = frames.Head(status=response.status, content_type=content_type)
-        streamed = content_type.startswith('text/event-stream')
+        streamed = event_splitter.is_event_stream(content_type)
         if not streamed:
             # Pass on the status only once the body is complete.
             body = response.read()
@@ -184,7 +185,7 @@
     ) -> None:
         chunks = response.stream(STREAM_CHUNK_BYTES, decode_content=True)
         complete = False
-        for event in sseclient.SSEClient(chunks).events():
+        for event in sseclient.SSEClient(_whole_events(chunks)).events():
             if event.data == STREAM_END:
                 complete = True
                 break
@@ -220,6 +221,13 @@
         )
 
 
+def _whole_events(chunks: abc.Iterable[bytes]) -> abc.Iterator[bytes]:
+    """Yield the events of a stream; sseclient would yield a part of one."""
+    splitter = event_splitter.EventSplitter()
+    for chunk in chunks:
+        yield from splitter.feed(chunk)
+
+
 def _connection_failure(
     exc: urllib3.exceptions.HTTPError,
 ) -> exceptions.Failure:
