Fail a call whose JSON response is incomplete

A JSON body without a length may end with its connection; the error of the decoder is none that its readers expect.

The entry's HTTP API uses the same test for an event stream as the rest.

--- a/src/aspenfold/_internal/network/http.py
+++ b/src/aspenfold/_internal/network/http.py
@@ -26,7 +26,7 @@
 
 
 class ServiceError(Exception):
-    """The service did not respond, or responded with an error status.
+    """The service gave no response, an error status or an invalid body.
 
     ``sent`` is False only if the request cannot have reached it.
     """
@@ -66,7 +66,13 @@
         raise ServiceError(
             f'{method} {path} returned status {response.status}', sent=True
         )
-    return orjson.loads(response.data)
+    try:
+        return orjson.loads(response.data)
+    except orjson.JSONDecodeError as exc:
+        # A body without a length may end early, with its connection.
+        raise ServiceError(
+            f'{method} {path} returned invalid JSON: {exc}', sent=True
+        ) from exc
 
 
 def may_have_been_sent(exc: urllib3.exceptions.HTTPError) -> bool:
--- a/src/aspenfold/_internal/network/http_api.py
+++ b/src/aspenfold/_internal/network/http_api.py
@@ -18,6 +18,7 @@
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.kernel import frames
 from aspenfold._internal.models import settings
+from aspenfold._internal.network import event_splitter
 from aspenfold._internal.network import port_errors
 from aspenfold._internal.network import request_validator
 from aspenfold._internal.network import response_queue
@@ -28,7 +29,6 @@
 The probe shows whether the caller is still connected.
 """
 
-SSE_CONTENT_TYPE = 'text/event-stream'
 JSON_CONTENT_TYPE = 'application/json'
 ACCEPT_BACKLOG = 512
 """Connections that the system queues until they are accepted.
@@ -164,7 +164,7 @@
         if isinstance(first, response_queue.Failed):
             return _error_response(first.failure, request_id)
         assert isinstance(first, frames.Head)
-        if first.content_type.startswith(SSE_CONTENT_TYPE):
+        if event_splitter.is_event_stream(first.content_type):
             return self._streamed_response(response, first, request_id)
         return self._buffered_response(response, first, request_id)
 
@@ -198,7 +198,7 @@
         if isinstance(first, response_queue.Failed):
             return iter((_error_response(first.failure, request_id),))
         cherrypy.response.status = head.status
-        cherrypy.response.headers['Content-Type'] = SSE_CONTENT_TYPE
+        cherrypy.response.headers['Content-Type'] = event_splitter.MEDIA_TYPE
         cherrypy.response.headers['Cache-Control'] = 'no-store'
         cherrypy.response.headers['Aspenfold-Outcome'] = 'ran'
         return self._sse_events(response, first, request_id)
