Send no body and the endpoint's length in responses to HEAD

Callers saw: a refused HEAD request closed its connection (UNEXPECTED in the log), and content-length: 0 for whatever a GET would return.

Cause: the writer sent an error's body, which HTTP forbids there, and the length was taken from the body, which such a response does not have. Found by following all that ends a response.

Both tests failed before.

--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -253,8 +253,11 @@
     def _forward_buffered(
         self, buffered: call_module.BufferedResponse
     ) -> None:
+        length: int | None = len(buffered.body)
+        if self._request.method == b'HEAD':
+            length = forwarding.content_length(buffered.headers)
         headers = self._core.forwarding.response_headers(
-            buffered.headers, length=len(buffered.body)
+            buffered.headers, length=length
         )
         self._response.start(buffered.status, headers)
         if buffered.body:
--- a/src/aspenfold/_internal/gateway/forwarding.py
+++ b/src/aspenfold/_internal/gateway/forwarding.py
@@ -112,6 +112,12 @@
     return b''
 
 
+def content_length(headers: Headers) -> int | None:
+    """Return the content length of a response, None if it states none."""
+    value = header(headers, b'content-length')
+    return int(value) if value else None
+
+
 def _connection_headers(headers: Headers) -> frozenset[bytes]:
     """Return the header names that the Connection header lists."""
     value = header(headers, b'connection')
--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -292,6 +292,7 @@
             self._transport.close()
             return
         parser.start_next_cycle()
+        self._head = None
         self._limits = self._owner.limits()
         self._receiving = bool(parser.trailing_data[0])
         self._start_timer(self._limits.idle_timeout)
@@ -361,7 +362,9 @@
         )
 
     def write(self, body: bytes) -> None:
-        """Send a part of the body."""
+        """Send a part of the body; a response to HEAD has none."""
+        if self._head is not None and self._head.method == b'HEAD':
+            return
         self._send(h11.Data(data=body))
 
     def end(self) -> None:
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -8,6 +8,7 @@
 import pytest
 
 from aspenfold._internal.network import event_splitter
+from aspenfold._internal.observability import events
 from tests.lib import gateway_rig as rigs
 
 SEAL_HEADER = 'x-aspenfold-response-seal'
@@ -560,3 +561,30 @@
         )
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ('path', 'status', 'length'), [('/safe/', 200, 13), ('/none/', 404, 42)]
+)
+def test_a_response_to_head_has_a_length_and_no_body(
+    path: str, status: int, length: int
+) -> None:
+    """The next response on the connection begins behind its head."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1')
+        await rig.wait_until_ready()
+        reader, writer = await rig.connect()
+        _, head = rig.request_head(path)
+        _, next_head = rig.request_head('/safe/')
+        writer.write(head.replace(b'GET', b'HEAD') + next_head)
+        first = await reader.readuntil(b'\r\n\r\n')
+        assert first.startswith(f'HTTP/1.1 {status} '.encode())
+        assert f'content-length: {length}\r\n'.encode() in first.lower()
+        second = await rigs.read_response(reader)
+        writer.close()
+        assert (second.status, second.body) == (200, b'answer of w-1')
+
+    with rigs.recorded_events() as lines:
+        run_scenario(scenario)
+    assert events.Event.UNEXPECTED not in {x['event'] for x in lines}
