Let endpoints break responses off in the soak, and callers speak HTTP/1.0

A removed endpoint's connections are reset, as a close in order between two events would look like one.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,6 +19,9 @@
 NEW_CONNECTION_FRACTION = 0.2
 """Fraction of requests that do not reuse an idle connection."""
 
+HTTP_1_0_FRACTION = 0.2
+"""Fraction of requests that speak HTTP/1.0, which ends their connection."""
+
 PROBE_INTERVAL_S = 0.2
 
 _attempt_numbers = itertools.count(1)
@@ -33,10 +36,16 @@
         system: system_under_test.SystemUnderTest,
         history: soak_history.SoakHistory,
         rng: random.Random,
+        version_rng: random.Random,
     ) -> None:
+        """``version_rng`` draws the versions of HTTP.
+
+        So ``rng`` draws the same requests as for seeds recorded before.
+        """
         self._system = system
         self._history = history
         self._rng = rng
+        self._version_rng = version_rng
         self._idle_connections: dict[
             str, tuple[asyncio.StreamReader, asyncio.StreamWriter]
         ] = {}
@@ -66,8 +75,11 @@
             disconnected_early=self._rng.random() < DISCONNECT_FRACTION,
         )
         self._history.add_request(request)
+        version = 'HTTP/1.1'
+        if self._version_rng.random() < HTTP_1_0_FRACTION:
+            version = 'HTTP/1.0'
         try:
-            writer.write(_request_bytes(request))
+            writer.write(_request_bytes(request, version))
             if request.disconnected_early:
                 await asyncio.sleep(self._rng.uniform(0, 0.2))
                 writer.close()
@@ -111,10 +123,10 @@
         self._idle_connections[gateway.name] = reader, writer
 
 
-def _request_bytes(request: soak_history.RequestRecord) -> bytes:
+def _request_bytes(request: soak_history.RequestRecord, version: str) -> bytes:
     method = 'GET' if request.path in ('/safe/', '/short/') else 'POST'
     lines = [
-        f'{method} {request.path} HTTP/1.1',
+        f'{method} {request.path} {version}',
         f'Host: {gateway_rig.HOST}',
         f'X-Aspenfold-Attempt-Id: {request.attempt_id}',
         f'X-Aspenfold-Deadline-Remaining-Ms: {int(CALLER_TIMEOUT_S * 1000)}',
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -176,7 +176,10 @@
 
     def _check_truncated(self, request: soak_history.RequestRecord) -> None:
         """Add a violation unless a fault explains the truncated response."""
-        if not self._executions[request.attempt_id]:
+        if (
+            not self._executions[request.attempt_id]
+            or request.attempt_id in self._history.broken_attempts
+        ):
             return
         subjects = [request.gateway, 'store', 'group']
         subjects += [
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -10,6 +10,7 @@
 
 import fire
 
+from tests.soak import broken_responses
 from tests.soak import callers
 from tests.soak import faults
 from tests.soak import guarantees
@@ -75,6 +76,11 @@
         history=history,
         rng=random.Random(f'{seed} statements'),
     )
+    breaker = broken_responses.ResponseBreaker(
+        system=system,
+        history=history,
+        rng=random.Random(f'{seed} response ends'),
+    )
     probers = [
         callers.PlanProber(system=system, gateway=gateway, history=history)
         for gateway in system.gateways
@@ -91,13 +97,22 @@
         caller_seeds = [rng.randrange(1 << 30) for _ in range(CALLER_COUNT)]
         all_callers = [
             callers.Caller(
-                system=system, history=history, rng=random.Random(caller_seed)
+                system=system,
+                history=history,
+                rng=random.Random(caller_seed),
+                version_rng=random.Random(f'{caller_seed} versions'),
             )
             for caller_seed in caller_seeds
         ]
         tasks = [
             asyncio.ensure_future(x.run())
-            for x in [*all_callers, *probers, limits, injected_statements]
+            for x in [
+                *all_callers,
+                *probers,
+                limits,
+                injected_statements,
+                breaker,
+            ]
         ]
         await injector.run(duration_s)
         unready = await _wait_until_ready(system, probers)
--- a/tests/soak/soak_history.py
+++ b/tests/soak/soak_history.py
@@ -60,12 +60,14 @@
 class SoakHistory:
     """Records requests by attempt id, and fault periods by subject.
 
-    A subject is the name of a gateway or an endpoint, ``store`` or
+    ``broken_attempts`` are the ids of attempts whose response an endpoint
+    broke off.  A subject is the name of a gateway or an endpoint, ``store`` or
     ``group``.  Times are those of ``time.monotonic()``.
     """
 
     def __init__(self) -> None:
         self.requests: dict[str, RequestRecord] = {}
+        self.broken_attempts: set[str] = set()
         self._fault_periods: dict[str, list[list[float]]] = {}
 
     def add_request(self, request: RequestRecord) -> None:
--- a/tests/soak/system_under_test.py
+++ b/tests/soak/system_under_test.py
@@ -394,8 +394,9 @@
         """Stop an endpoint and remove its record from the store."""
         self.endpoints.remove(endpoint)
         self.removed_endpoints.append(endpoint)
-        await endpoint.worker.stop()
+        # A close in order could look like the end of a response.
         endpoint.link.start_fault(links.LinkFault.RESET)
+        await endpoint.worker.stop()
         await self.store.remove(endpoint_records.TOPIC, endpoint.worker.name)
 
     @property
