--- a/tests/functional/test_gateway_response_ends.py
+++ b/tests/functional/test_gateway_response_ends.py
@@ -4,10 +4,12 @@
 from collections import abc
 import itertools
 
+from aspenfold_standins import http11
 from aspenfold_standins import platform_worker as workers
 import pytest
 
 from aspenfold._internal.observability import events
+from aspenfold.platform import endpoint_records
 from tests.lib import gateway_rig as rigs
 
 EVENTS = [workers.event_bytes(n) for n in range(1, 11)]
@@ -369,3 +371,87 @@
         assert b'groups_standing 0.0' in await rigs.metrics(rig)
 
     run_scenario(scenario)
+
+
+async def respond_twice(
+    worker: workers.Worker, exchange: http11.Exchange
+) -> None:
+    """Execute, then send a complete response and one that nobody asked for."""
+    worker.record_execution(exchange)
+    headers = worker.response_headers(exchange)
+    await exchange.respond(200, headers, b'first')
+    await exchange.respond(200, headers, b'second')
+
+
+def test_bytes_behind_a_complete_response_belong_to_no_request() -> None:
+    """Neither this caller nor the next one gets them."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        await rig.add_worker('w-1', respond_twice)
+        await rig.wait_until_ready()
+        reader, writer = await rig.connect()
+        for _ in range(3):
+            _, head = rig.request_head('/unsafe/', body='x')
+            writer.write(head + b'x')
+            response = await rigs.read_response(reader)
+            assert response.complete
+            assert response.body == b'first'
+        writer.close()
+
+    run_scenario(scenario)
+
+
+def test_an_encoded_stream_is_not_split_into_events() -> None:
+    """Its bytes are no events, so that only its framing tells its end."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        async def respond(
+            worker: workers.Worker, exchange: http11.Exchange
+        ) -> None:
+            headers = worker.response_headers(exchange)
+            headers['content-type'] = 'text/event-stream'
+            headers['content-encoding'] = 'br'
+            await exchange.respond(200, headers, b'encoded')
+
+        await rig.add_worker('w-1', respond)
+        await rig.wait_until_ready()
+        response = await rig.request('/song/', body='x')
+        assert response.complete
+        assert response.body == b'encoded'
+
+    run_scenario(scenario)
+
+
+def test_a_response_may_come_before_its_request_was_read() -> None:
+    """The endpoint reads on, and gets the rest of that body only."""
+    body = b'b' * 9000
+    received: list[bytes] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        lines = head.decode().lower().split('\r\n')
+        (attempt,) = [x for x in lines if x.startswith(workers.ATTEMPT_HEADER)]
+        writer.write(
+            f'HTTP/1.1 413 Large\r\n{attempt}\r\n'
+            f'content-length: 3\r\n\r\nbig'.encode()
+        )
+        received.append(await reader.read())
+        writer.close()
+
+    async def scenario(rig: rigs.Rig) -> None:
+        server = await asyncio.start_server(serve, rigs.LOOPBACK, 0)
+        worker = workers.Worker('w-1')
+        record = worker.store_record('plain')
+        port = server.sockets[0].getsockname()[1]
+        record['address'] = f'{rigs.LOOPBACK}:{port}'
+        await rig.store.put(endpoint_records.TOPIC, 'w-1', record)
+        await rig.wait_until_ready()
+        response = await rig.request('/unsafe/', body=body.decode())
+        assert (response.status, response.body) == (413, b'big')
+        await rigs.wait_until(lambda: received)
+        assert body.startswith(received[0])
+        server.close()
+
+    run_scenario(scenario)
