Read a settings file again that is not valid yet

Cause: what had been written so far was taken for the whole file. The platform may write it at any time; whether it does so in one step is not known.

The program reads again for half a second before it gives up. A test that writes the file in two steps fails without the change.

--- a/src/aspenfold/platform/settings.py
+++ b/src/aspenfold/platform/settings.py
@@ -1,6 +1,8 @@
 """Reads the settings files that the platform writes for processes."""
 
 import os
+import time
+import typing
 
 import pydantic
 
@@ -18,6 +20,12 @@
 """
 
 
+READ_ATTEMPTS = 11
+
+READ_RETRY_DELAY_S = 0.05
+"""The platform may be writing the file, whose new content is not whole yet."""
+
+
 class _WireModel(pydantic.BaseModel):
     """Base of the file's parts; unknown fields are ignored."""
 
@@ -89,9 +97,7 @@
 
     Raises SettingsError, naming the field, if the file is invalid.
     """
-    data = base.load_model(
-        file_path, _File, code=exceptions.Code.SETTINGS_INVALID
-    )
+    data = _load(file_path, _File)
     return settings.GatewaySettings(
         name=data.node,
         availability_zone=data.zone,
@@ -113,9 +119,7 @@
 
     Raises SettingsError, naming the field, if the file is invalid.
     """
-    data = base.load_model(
-        file_path, _RankFile, code=exceptions.Code.SETTINGS_INVALID
-    )
+    data = _load(file_path, _RankFile)
     if not data.agent_port:
         raise exceptions.SettingsError(
             exceptions.Failure(
@@ -133,6 +137,25 @@
     )
 
 
+Model = typing.TypeVar('Model', bound=_WireModel)
+
+
+def _load(file_path: str, model: type[Model]) -> Model:
+    """Read a file, again for some time if it is not valid."""
+    for _ in range(READ_ATTEMPTS - 1):
+        try:
+            return _load_once(file_path, model)
+        except exceptions.ConfigError:
+            time.sleep(READ_RETRY_DELAY_S)
+    return _load_once(file_path, model)
+
+
+def _load_once(file_path: str, model: type[Model]) -> Model:
+    return base.load_model(
+        file_path, model, code=exceptions.Code.SETTINGS_INVALID
+    )
+
+
 def _optional_address(text: str, field: str) -> settings.TcpAddress | None:
     return parse_address(text, field) if text else None
 
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import random
+import threading
 
 import hypothesis
 from hypothesis import strategies as st
@@ -158,6 +159,25 @@
         platform_settings.load_gateway(str(path))
 
 
+@pytest.mark.parametrize('partial', ['', '{"node": "n", "ip'])
+def test_a_settings_file_may_be_read_while_it_is_written(
+    tmp_path: pathlib.Path, partial: str
+) -> None:
+    """Soak seed 828: a gateway that started in that moment ended."""
+    path = tmp_path / 'settings.json'
+    whole = {
+        'node': 'n',
+        'ip': '1.2.3.4',
+        'zone': 'z',
+        'platform': {'address': '1.2.3.5:80'},
+    }
+    path.write_text(partial)
+    write = threading.Timer(0.1, path.write_text, [json.dumps(whole)])
+    write.start()
+    assert platform_settings.load_gateway(str(path)).name == 'n'
+    write.join()
+
+
 def test_only_command_line_modules_import_the_platform() -> None:
     """Other modules must not depend on the platform."""
     importers = set()
