--- a/tests/functional/test_gateway_response_ends.py
+++ b/tests/functional/test_gateway_response_ends.py
@@ -455,3 +455,18 @@
         server.close()
 
     run_scenario(scenario)
+
+
+def test_a_silent_stream_is_not_ended() -> None:
+    """An endpoint's silence is no reason to end its response sooner."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1', workers.stream_events)
+        worker.event_count = 2
+        worker.event_interval_s = 1.5
+        await rig.wait_until_ready()
+        response = await rig.request('/song/', body='x')
+        assert response.complete
+        assert response.body == b''.join(EVENTS[:2])
+
+    run_scenario(scenario)
--- a/tests/unit/test_trace.py
+++ b/tests/unit/test_trace.py
@@ -13,7 +13,15 @@
     {'event': 202, 'call': 'a', 'timestamp': 3.0, 'code': 1102},
     {'event': 300, 'call': 'a', 'timestamp': 1.0, 'endpoint': 'w-1'},
     {'event': 300, 'call': 'b', 'timestamp': 2.0, 'endpoint': 'w-2'},
-    {'event': 301, 'call': 'a', 'timestamp': 2.0, 'left_out': {'x': 4}},
+    {
+        'event': 301,
+        'call': 'a',
+        'timestamp': 2.0,
+        'body_end': 'close',
+        'unfinished_bytes': 31,
+        'whole': False,
+        'left_out': {'x': 4},
+    },
     {'event': 999, 'call': 'a', 'timestamp': 4.0},
 ]
 
@@ -48,6 +56,7 @@
     printed = capsys.readouterr().out
     assert 'CALL_FAILED' in printed
     assert 'code=1102' in printed
+    assert 'body_end=close unfinished_bytes=31 whole=False' in printed
     assert '4 lines of x were dropped' in printed
     assert (
         command.run('zz', paths, as_json=False)
