Compare a stream's events with what was due when its attempt began

Found by reading the change: a caller that goes on behind the last event saw a broken answer if a comment came first, since the comment's delivery made events due; and a resumed stream that brought only repeated events and ended with its connection was delivered as complete. Both tests failed before.

What is due is known before the body is read, and only new events count.

--- a/src/aspenfold/_internal/gateway/event_stream.py
+++ b/src/aspenfold/_internal/gateway/event_stream.py
@@ -8,24 +8,28 @@
 
 from aspenfold._internal.network import event_splitter
 
+_FIELD = re.compile(rb'^[^:\r\n]', re.MULTILINE)
 _ID_FIELD = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
 
 class EventStream:
     """Records the last event's id and drops events that are repeated.
 
-    ``events`` counts the events with an id that were returned; ``splitter``
-    is that of the current attempt.
+    ``events`` counts the events with an id that were returned.  ``splitter``
+    is that of the current attempt; ``has_new_events`` is whether it brought
+    an event that is neither repeated nor a comment.
     """
 
     def __init__(self, *, last_id: bytes = b'') -> None:
         self.last_id = last_id
         self.events = 0
         self.splitter = event_splitter.EventSplitter()
+        self.has_new_events = False
 
     def begin_attempt(self) -> None:
         """Discard the unfinished event of the attempt before."""
         self.splitter = event_splitter.EventSplitter()
+        self.has_new_events = False
 
     def feed(self, data: bytes) -> bytes:
         """Return the concatenated events that ``data`` completes.
@@ -33,8 +37,9 @@
         Events with an id up to :attr:`last_id` are skipped, because a
         resumed stream may repeat them.
         """
-        events = self.splitter.feed(data)
-        return b''.join(event for event in events if self._is_new(event))
+        events = [x for x in self.splitter.feed(data) if self._is_new(x)]
+        self.has_new_events |= any(map(_FIELD.search, events))
+        return b''.join(events)
 
     def _is_new(self, event: bytes) -> bool:
         match = _ID_FIELD.search(event)
--- a/src/aspenfold/_internal/gateway/response_receiver.py
+++ b/src/aspenfold/_internal/gateway/response_receiver.py
@@ -37,20 +37,21 @@
     ) -> outcome.AttemptResult:
         """Receive the body and return the result of the attempt."""
         headers = list(head.headers)
+        encoding = forwarding.header(headers, b'content-encoding')
+        if encoding not in (b'', b'identity'):
+            # Encoded bytes are no events.
+            return await self._buffer(head, None)
         content_type = forwarding.header(headers, b'content-type')
         is_event_stream = event_splitter.is_event_stream(
             content_type.decode('latin-1')
         )
-        splitter = event_splitter.EventSplitter() if is_event_stream else None
-        if forwarding.header(headers, b'content-encoding'):
-            # Encoded bytes are no events.
-            return await self._buffer(head, None)
         if (
             self._history.route.kind is plan_module.Kind.STREAMING
             and head.status_code == 200
             and (is_event_stream or not content_type)
         ):
             return await self._forward(head)
+        splitter = event_splitter.EventSplitter() if is_event_stream else None
         return await self._buffer(head, splitter)
 
     async def _buffer(
@@ -94,6 +95,7 @@
         """Forward the events of a stream, each once it is whole."""
         response, stream = self._call.response, self._call.stream
         stream.begin_attempt()
+        expects_events = self._expects_events()
         try:
             while (data := await self._connection.read_data()) is not None:
                 events = stream.feed(data)
@@ -105,7 +107,8 @@
                     return outcome.AttemptResult.OVERSIZED
         finally:
             end = self._record_end(
-                stream.splitter, expects_events=self._expects_events()
+                stream.splitter,
+                lacks_events=expects_events and not stream.has_new_events,
             )
         if end is None or not end.is_whole:
             return outcome.AttemptResult.LOST
@@ -145,7 +148,7 @@
         self,
         splitter: event_splitter.EventSplitter | None,
         *,
-        expects_events: bool = False,
+        lacks_events: bool = False,
     ) -> response_end.ResponseEnd | None:
         """Record how the body ended; return None if it has not."""
         body_end = self._connection.body_end
@@ -158,7 +161,7 @@
                 events=self._call.stream.events,
                 unfinished_bytes=len(splitter.unfinished),
                 is_inside_event=splitter.is_inside_event,
-                lacks_events=expects_events and not splitter.has_events,
+                lacks_events=lacks_events,
             )
         record_end(self._core, self._call, end)
         return end
--- a/src/aspenfold/_internal/network/event_splitter.py
+++ b/src/aspenfold/_internal/network/event_splitter.py
@@ -13,7 +13,6 @@
 MEDIA_TYPE = 'text/event-stream'
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n|\r\r')
-_FIELD = re.compile(rb'^[^:\r\n]', re.MULTILINE)
 _NO_FIELDS = re.compile(rb'(?:(?::[^\r\n]*)?(?:\r\n|\r|\n))*')
 
 
@@ -26,13 +25,11 @@
 class EventSplitter:
     """Splits the bytes of one stream into events.
 
-    ``unfinished`` holds the bytes behind the last whole event;
-    ``has_events`` is whether there was an event other than comments.
+    ``unfinished`` holds the bytes behind the last whole event.
     """
 
     def __init__(self) -> None:
         self.unfinished = b''
-        self.has_events = False
 
     @property
     def is_oversized(self) -> bool:
@@ -56,5 +53,4 @@
             events.append(self.unfinished[start : match.end()])
             start = match.end()
         self.unfinished = self.unfinished[start:]
-        self.has_events = self.has_events or any(map(_FIELD.search, events))
         return events
--- a/tests/functional/test_gateway_response_ends.py
+++ b/tests/functional/test_gateway_response_ends.py
@@ -177,24 +177,30 @@
     run_scenario(scenario)
 
 
-def test_a_caller_may_go_on_behind_the_last_event() -> None:
+@pytest.mark.parametrize('content', [b'', b': waiting\n\n'])
+def test_a_caller_may_go_on_behind_the_last_event(content: bytes) -> None:
     """A response without any event is then a whole one."""
 
     async def scenario(rig: rigs.Rig) -> None:
-        await rig.add_worker('w-1', broken_off(size=0))
+        script = broken_off(size=len(content), content=content)
+        await rig.add_worker('w-1', script)
         await rig.wait_until_ready()
         response = await rig.request('/stream/', body='x', Last_Event_Id='10')
-        assert (response.status, response.body) == (200, b'')
+        assert (response.status, response.body) == (200, content)
         assert response.complete
 
     run_scenario(scenario)
 
 
-def test_a_resumed_stream_without_any_event_is_broken_off() -> None:
+@pytest.mark.parametrize('content', [b'', b''.join(EVENTS[5:8])])
+def test_a_resumed_stream_without_any_event_is_broken_off(
+    content: bytes,
+) -> None:
     """More was due, as the attempt before was broken off."""
 
     async def scenario(rig: rigs.Rig) -> None:
-        await add_pair(rig, broken_off(), broken_off(size=0))
+        second = broken_off(size=len(content), content=content)
+        await add_pair(rig, broken_off(), second)
         response = await respond_by(rig, 'w-1', '/stream/')
         assert response.body == b''.join(EVENTS[:-1])
         assert not response.complete
