--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -3,6 +3,7 @@
 import pathlib
 import re
 
+import pytest
 from tools import write_tables
 
 from aspenfold._internal import exceptions
@@ -45,3 +46,20 @@
             if not (page.parent / target).exists():
                 broken.append(f'{page.name}: {target}')
     assert broken == []
+
+
+@pytest.mark.parametrize('page', ['PLATFORM.md', 'PROOFS.md'])
+def test_every_test_that_a_page_names_exists(page: str) -> None:
+    """A renamed test would leave a proof that is none."""
+    tests = ROOT / 'tests'
+    files = {path.name: path for path in tests.rglob('test_*.py')}
+    sources = ''.join(path.read_text('utf-8') for path in files.values())
+    text = (ROOT / 'docs' / page).read_text('utf-8')
+    named = set(re.findall(r'`(test_\w+(?:\.py)?)`', text))
+    assert named
+    missing = [
+        name
+        for name in named
+        if name not in files and f'def {name}(' not in sources
+    ]
+    assert not missing
