Send SIGTERM in a test once all its streams have begun

It waited until two endpoints had a stream, which three streams do as well, so that the fourth could come after the signal; sent 0.6 s late, it fails in the same way. An entry that got SIGTERM refuses new calls, and admission alone gives that answer, so that no stream was truncated.

It waits for all four streams at two endpoints now; what it asserts is unchanged.

--- a/tests/functional/test_processes.py
+++ b/tests/functional/test_processes.py
@@ -1,5 +1,6 @@
 """Entries, agents and the operator's commands as real processes."""
 
+import collections
 import json
 import pathlib
 
@@ -177,15 +178,21 @@
     count_single_map_steps(deployment)
 
 
-def endpoints_in_use(deployment: launcher.Deployment) -> list[str]:
-    """Return the endpoints with requests of an entry in flight."""
-    names = set()
+def requests_in_flight(
+    deployment: launcher.Deployment,
+) -> collections.Counter[str]:
+    """Return how many requests of all entries each endpoint has."""
+    counts: collections.Counter[str] = collections.Counter()
     for entry in deployment.entry_names():
         status = deployment.fetch_entry_status(entry)
         for endpoint in status['endpoints'] if status else []:
-            if endpoint['in_flight_here']:
-                names.add(endpoint['name'])
-    return sorted(names)
+            counts[endpoint['name']] += endpoint['in_flight_here']
+    return +counts
+
+
+def endpoints_in_use(deployment: launcher.Deployment) -> list[str]:
+    """Return the endpoints with requests of an entry in flight."""
+    return sorted(requests_in_flight(deployment))
 
 
 def test_group_continues_after_frozen_leader_and_stalled_rank(
@@ -226,9 +233,12 @@
     streams = [
         client.submit(client.stream, 0, f'Agnus {n}', 300) for n in range(4)
     ]
-    deployment.wait_for(
-        'streams', lambda: len(endpoints_in_use(deployment)) == 2
-    )
+
+    def all_streams_have_begun() -> bool:
+        counts = requests_in_flight(deployment)
+        return counts.total() == len(streams) and len(counts) == 2
+
+    deployment.wait_for('streams', all_streams_have_begun)
     entry = deployment.processes[deployment.entry_names()[0]]
     agent = deployment.processes['group-0-1']
     entry.terminate()
