--- a/tests/unit/test_endpoint_client.py
+++ b/tests/unit/test_endpoint_client.py
@@ -57,9 +57,11 @@
     )
 
 
-async def failure_of(port: int, operation: str) -> exceptions.Failure:
+async def failure_of(
+    port: int, operation: str, sink: FailureSink | None = None
+) -> exceptions.Failure:
     """Call an endpoint on ``port`` and return the failure."""
-    sink = FailureSink()
+    sink = sink or FailureSink()
     client = endpoint_client.EndpointClient(
         config=endpoint_client.EndpointConfig(
             base_url=f'http://127.0.0.1:{port}',
--- a/tests/unit/test_endpoint_streams.py
+++ b/tests/unit/test_endpoint_streams.py
@@ -6,7 +6,6 @@
 
 from aspenfold._internal import exceptions
 from aspenfold._internal.kernel import frames
-from aspenfold._internal.network import endpoint_client
 from tests.unit import test_endpoint_client
 
 ITEMS = [b'{"token":1}', b'{"token":23}']
@@ -39,22 +38,11 @@
     server = http11.Server(handler)
     await server.start()
     sink = ItemSink()
-    client = endpoint_client.EndpointClient(
-        config=endpoint_client.EndpointConfig(
-            base_url=f'http://127.0.0.1:{server.port}',
-            path='',
-            kind='plain',
-            operations={'job': '/job'},
-        ),
-        threads=1,
-        loop=asyncio.get_running_loop(),
-        sink=sink,
-    )
-    client.start(test_endpoint_client.request('job'))
     try:
-        failure = await sink.failure
+        failure = await test_endpoint_client.failure_of(
+            server.port, 'job', sink
+        )
     finally:
-        client.close()
         await server.stop()
     return sink.items, failure
 
