Log the parts of prompts, and endpoints that ended under an attempt

Attempts name the digests of the parts that requests may share (300). After a lost attempt the gateway asks whether the endpoint still listens, with a connection that sends nothing; ENDPOINT_ENDED (513) says that it doesn't, how far the answer had got and with which parts, and endpoint_ends counts. Entries of the header that can't be read are counted and logged (205) and hide no others. No decision depends on any of it yet.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -6,6 +6,7 @@
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_probe
 from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import outage
@@ -13,6 +14,7 @@
 from aspenfold._internal.gateway import response_end
 from aspenfold._internal.gateway import response_receiver
 from aspenfold._internal.gateway import statement_recorder
+from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import http1_client
 from aspenfold._internal.observability import events
 
@@ -49,8 +51,10 @@
             rate_limit=self._core.rate_limits.rate(endpoint.name),
             left_ms=self._call.remaining_ms,
             plan=self._core.plan_version,
+            parts=self._call.parts.shared,
         )
         self._call.response_end = None
+        self._call.first_output_at = None
         endpoint.in_flight += 1
         try:
             async with asyncio.timeout(self._call.remaining.total_seconds()):
@@ -59,9 +63,32 @@
             result = outcome.AttemptResult.TIMED_OUT
         finally:
             endpoint.in_flight -= 1
+        if result is outcome.AttemptResult.LOST:
+            await self._check_endpoint()
         self._update_state(result)
         return result
 
+    async def _check_endpoint(self) -> None:
+        """Find out whether the endpoint ended under the attempt."""
+        lost_at = self._core.clock.now()
+        if await endpoint_probe.is_listening(self._endpoint.listing):
+            return
+        first_output_at = self._call.first_output_at
+        output_ms = None
+        if first_output_at is not None:
+            output_ms = clock_module.to_ms(lost_at - first_output_at)
+        self._core.metrics.increment(
+            'endpoint_ends', self._endpoint.listing.service
+        )
+        events.emit(
+            events.Event.ENDPOINT_ENDED,
+            call=self._call.id,
+            endpoint=self._endpoint.name,
+            leaving=self._endpoint.leaving,
+            output_ms=output_ms,
+            parts=self._call.parts.shared,
+        )
+
     async def _connect_and_send(self) -> outcome.AttemptResult:
         listing = self._endpoint.listing
         try:
--- a/src/aspenfold/_internal/gateway/call.py
+++ b/src/aspenfold/_internal/gateway/call.py
@@ -6,6 +6,7 @@
 
 from aspenfold._internal.gateway import event_stream
 from aspenfold._internal.gateway import forwarding
+from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import response_end as end_module
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import http1_server
@@ -28,7 +29,8 @@
     streamed response and is kept through all attempts.
     ``buffered_response`` is the latest complete response that was not
     forwarded yet.  ``response_end`` is how the response of the latest attempt
-    ended, None if none began.
+    ended, None if none began.  ``first_output_at`` is when that attempt's
+    response first had an event, or a part of another body.
     """
 
     clock: clock_module.Clock
@@ -43,6 +45,8 @@
     )
     buffered_response: BufferedResponse | None = None
     response_end: end_module.ResponseEnd | None = None
+    first_output_at: datetime.datetime | None = None
+    parts: prompt_parts.PromptParts = prompt_parts.NONE
 
     @property
     def age(self) -> datetime.timedelta:
@@ -54,6 +58,11 @@
         """The age in whole milliseconds, for logs."""
         return int(self.age.total_seconds() * 1000)
 
+    def record_output(self) -> None:
+        """Note that the endpoint has begun to write its answer."""
+        if self.first_output_at is None:
+            self.first_output_at = self.clock.now()
+
     @property
     def remaining(self) -> datetime.timedelta:
         """The time to the deadline, negative after it."""
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -12,6 +12,7 @@
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index as plan_index_module
+from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import refusal
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.kernel import clock as clock_module
@@ -55,9 +56,22 @@
             response=response,
             id=request.header(core.header_names.attempt_id).decode('latin-1'),
             deadline=request.received_at + self._time_left,
+            parts=prompt_parts.parse(request, core.header_names.prompt_parts),
         )
+        self._log_invalid_parts()
         self.endpoint = ''
 
+    def _log_invalid_parts(self) -> None:
+        invalid = self._call.parts.invalid
+        if not invalid:
+            return
+        self._core.metrics.increment('invalid_headers', 'prompt-parts')
+        events.emit(
+            events.Event.PROMPT_PARTS_INVALID,
+            call=self._call.id,
+            entries=invalid,
+        )
+
     async def run(self) -> None:
         """Serve the request; cancelled if the caller disconnects."""
         route = self._admit()
--- a/src/aspenfold/_internal/gateway/header_names.py
+++ b/src/aspenfold/_internal/gateway/header_names.py
@@ -20,3 +20,4 @@
     priority: bytes
     token_usage: bytes
     length_hint: bytes
+    prompt_parts: bytes
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -28,6 +28,7 @@
     CALL_FAILED = 202
     CALLER_LEFT = 203
     CALL_RESUMED = 204
+    PROMPT_PARTS_INVALID = 205
     ATTEMPT_OPENED = 300
     ATTEMPT_LOST = 301
     ATTEMPT_STARTED = 302
@@ -53,6 +54,7 @@
     ENDPOINT_BACKOFF = 510
     ENDPOINT_LEAVING = 511
     FIELD_UNKNOWN = 512
+    ENDPOINT_ENDED = 513
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -86,6 +88,8 @@
     Event.CALL_FAILED: 'a call ended with an error',
     Event.CALLER_LEFT: 'a caller closed its connection early',
     Event.CALL_RESUMED: 'a broken stream resumes at another endpoint',
+    Event.PROMPT_PARTS_INVALID: "a call's list of prompt parts has entries "
+    'that cannot be read',
     Event.ATTEMPT_OPENED: 'an attempt was sent to an agent or endpoint',
     Event.ATTEMPT_LOST: 'an attempt ended without a complete answer',
     Event.ATTEMPT_STARTED: 'an agent sent an attempt to its endpoint',
@@ -115,6 +119,8 @@
     Event.ENDPOINT_LEAVING: 'an endpoint stated that it will stop soon',
     Event.FIELD_UNKNOWN: "an endpoint's entry or report has a field that is "
     'not known here',
+    Event.ENDPOINT_ENDED: 'an endpoint does not listen any more after an '
+    'attempt there was lost',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/src/aspenfold/platform/headers.py
+++ b/src/aspenfold/platform/headers.py
@@ -19,4 +19,6 @@
     # "prompt,longest response", both in tokens.
     token_usage=b'x-aspenfold-token-usage',
     length_hint=b'x-aspenfold-length-hint',
+    # The parts of the prompt in order, as "id:tokens" entries.
+    prompt_parts=b'x-aspenfold-prompt-prefix-hash',
 )
