Failing tests: requests under which endpoints end again and again

Reproduces the incident with small stand-ins: an endpoint that begins to write on a certain part of a prompt ends and listens again after 1.5 s. 12 endpoints, three gateways, 5 such requests a second, no two alike, beside 25 sound ones with the same first part.

One request ends two endpoints by the gateway's own retry. The rule on a request that is repeated with the same caller, path and body is broken by the same design.

--- a/standins/aspenfold_standins/platform_worker.py
+++ b/standins/aspenfold_standins/platform_worker.py
@@ -19,6 +19,7 @@
 LEAVING_HEADER = 'Server-Leaving'
 RETRY_AFTER_HEADER = 'Retry-After'
 AT_FAULT_HEADER = 'At-Server'
+PROMPT_HEADER = 'x-aspenfold-prompt-prefix-hash'
 
 Script = abc.Callable[['Worker', http11.Exchange], abc.Awaitable[None]]
 
@@ -44,6 +45,7 @@
     ``rate_limit``, the requests a second that it takes from all gateways.
     Unless it is None, a 503 states ``retry_after``, in seconds, and is added
     to ``refusals``.  All responses say so while the endpoint is ``leaving``.
+    ``crashes`` has the times at which it crashed, by the monotonic clock.
     """
 
     def __init__(self, name: str, *, slots: int = 6) -> None:
@@ -59,7 +61,9 @@
         self.retry_after: float | None = None
         self.refusals: list[Refusal] = []
         self.leaving = False
+        self.crashes: list[float] = []
         self._server = http11.Server(self._handle)
+        self._restart: asyncio.Task[None] | None = None
 
     async def start(self, port: int = 0) -> None:
         """Listen on the loopback address; port 0 picks a free port."""
@@ -67,8 +71,22 @@
 
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
+        if self._restart is not None:
+            self._restart.cancel()
         await self._server.stop()
 
+    def crash(self, down_s: float) -> None:
+        """Reset every connection and listen again after ``down_s``."""
+        if self._restart is None or self._restart.done():
+            self.crashes.append(time.monotonic())
+            self._restart = asyncio.create_task(self._crash(down_s))
+
+    async def _crash(self, down_s: float) -> None:
+        port = self.port
+        await self._server.stop()
+        await asyncio.sleep(down_s)
+        await self._server.start(port)
+
     @property
     def port(self) -> int:
         """The TCP port of the endpoint."""
@@ -136,6 +154,44 @@
     await exchange.respond(200, worker.response_headers(exchange), body)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashOn:
+    """A script that crashes the endpoint as it begins certain answers.
+
+    These are answers to requests whose prompt has the ``part``, but not as
+    its last one, or that have the ``body``.  ``events`` of a stream are sent
+    before.  Others are answered by ``otherwise``.
+    """
+
+    part: str = ''
+    body: bytes = b''
+    events: int = 0
+    down_s: float = 1.5
+    otherwise: Script
+
+    async def __call__(
+        self, worker: Worker, exchange: http11.Exchange
+    ) -> None:
+        """Crash or respond."""
+        if not self.is_fatal(exchange.request):
+            await self.otherwise(worker, exchange)
+            return
+        if self.events:
+            await _send_events(worker, exchange, self.events)
+        else:
+            worker.record_execution(exchange)
+        worker.crash(self.down_s)
+        await asyncio.Event().wait()
+
+    def is_fatal(self, request: http11.Request) -> bool:
+        """Return whether the endpoint crashes on a request."""
+        if self.body:
+            return request.body == self.body
+        value = request.headers.get(PROMPT_HEADER, '')
+        parts = [entry.partition(':')[0] for entry in value.split(',')]
+        return self.part in parts[:-1]
+
+
 async def server_error(worker: Worker, exchange: http11.Exchange) -> None:
     """Execute, then respond with status 500."""
     worker.record_execution(exchange)
--- /dev/null
+++ b/tests/functional/test_gateway_crashes.py
@@ -0,0 +1,231 @@
+"""Requests under which endpoints end, at several gateways."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import functools
+import itertools
+import time
+
+from aspenfold_standins import platform_worker as workers
+import pytest
+
+from tests.lib import gateway_rig as rigs
+from tests.lib import gateway_set
+
+GATEWAYS = 3
+ENDPOINTS = 12
+BAD_PART = 'bad0'
+COMMON_PART = 'c0ffee'
+BAD_INTERVAL_S = 0.2
+SOUND_INTERVAL_S = 0.04
+
+STABLE_WINDOW_S = 3.0
+"""Time after a crash in which gateways learn of it."""
+
+CRASHES_TO_LEARN = 5
+MAX_LATE_REQUESTS = 3
+MIN_SERVED_RATIO = 0.5
+BEFORE_S = 1.5
+DURATION_S = 9.0
+
+
+def parts_header(*parts: str) -> dict[str, str]:
+    """Return the header that lists the parts of a prompt."""
+    value = ','.join(f'{part}:40' for part in parts)
+    return {'X_Aspenfold_Prompt_Prefix_Hash': value}
+
+
+@dataclasses.dataclass(kw_only=True)
+class Play:
+    """What callers and endpoints saw.
+
+    ``sound`` has when each sound request was sent and whether it was served;
+    ``bad`` has when each request with the bad part reached an endpoint,
+    ``crashes`` when endpoints crashed.  Times are monotonic ones.
+    """
+
+    begun_at: float
+    sound: list[tuple[float, bool]]
+    bad: list[float]
+    crashes: list[float]
+
+    @property
+    def learned_from(self) -> float:
+        """The crash from which on gateways have to know the part."""
+        crashes = sorted(self.crashes)
+        return crashes[:CRASHES_TO_LEARN][-1]
+
+    def served(self, begin: float, end: float) -> float:
+        """Return the share of sound requests of a time that was served."""
+        found = [ok for at, ok in self.sound if begin <= at < end]
+        assert len(found) >= 20
+        return sum(found) / len(found)
+
+
+async def call_sound(
+    gateways: gateway_set.GatewaySet, play: Play, numbers: abc.Iterator[int]
+) -> None:
+    """Send a sound request; note whether its stream is whole."""
+    number = next(numbers)
+    sent_at = time.monotonic()
+    header = parts_header(COMMON_PART, f'{number:x}')
+    response = await gateways.request(
+        number % GATEWAYS + 1, '/stream/', **header
+    )
+    is_served = response.status == 200 and response.complete
+    play.sound.append((sent_at, is_served))
+
+
+async def call_every(
+    interval_s: float, call: abc.Callable[[], abc.Coroutine[None, None, None]]
+) -> None:
+    """Start calls at an even pace until cancelled."""
+    async with asyncio.TaskGroup() as calls:
+        while True:
+            calls.create_task(call())
+            await asyncio.sleep(interval_s)
+
+
+async def run_play() -> Play:
+    """Send sound requests, and after a while bad ones beside them."""
+    crash = workers.CrashOn(part=BAD_PART, otherwise=workers.stream_events)
+    async with gateway_set.running_gateways(GATEWAYS) as gateways:
+        for number in range(2, ENDPOINTS + 1):
+            await gateways.rig.add_worker(f'w-{number}')
+        for worker in gateways.rig.workers:
+            worker.script = crash
+            worker.event_interval_s = 0.02
+        await rigs.wait_until(
+            lambda: all(p.endpoints == ENDPOINTS for p in gateways.processes)
+        )
+        numbers = itertools.count(1)
+        play = Play(begun_at=time.monotonic(), sound=[], bad=[], crashes=[])
+
+        async def call_bad() -> None:
+            number = next(numbers)
+            header = parts_header(COMMON_PART, BAD_PART, f'{number:x}')
+            await gateways.request(number % GATEWAYS + 1, '/stream/', **header)
+
+        sound = asyncio.create_task(
+            call_every(
+                SOUND_INTERVAL_S,
+                lambda: call_sound(gateways, play, numbers),
+            )
+        )
+        await asyncio.sleep(BEFORE_S)
+        bad = asyncio.create_task(call_every(BAD_INTERVAL_S, call_bad))
+        await asyncio.sleep(DURATION_S)
+        for task in (sound, bad):
+            task.cancel()
+        await asyncio.gather(sound, bad, return_exceptions=True)
+        for worker in gateways.rig.workers:
+            play.crashes += worker.crashes
+            play.bad += [
+                r.arrived_at for r in worker.requests if crash.is_fatal(r)
+            ]
+        return play
+
+
+@functools.cache
+def played() -> Play:
+    """Return the play, which is the same for all tests of this module."""
+    return asyncio.run(run_play())
+
+
+def test_a_part_under_which_five_endpoints_ended_is_not_sent_on() -> None:
+    """Incident inc1 (BUDGET): nothing counted what crashes had in common."""
+    play = played()
+    limit = play.learned_from + STABLE_WINDOW_S
+    late = [at for at in play.bad if at > limit]
+    assert len(late) <= MAX_LATE_REQUESTS
+
+
+def test_a_request_that_crashed_an_endpoint_ends_no_second_one() -> None:
+    """Its parts have never been answered, so that it may be the cause."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            crash = workers.CrashOn(
+                part=BAD_PART, events=2, otherwise=workers.stream_events
+            )
+            for name in ('w-1', 'w-2', 'w-3'):
+                await rig.add_worker(name, crash)
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 3)
+            await rig.wait_until_ready()
+            header = parts_header(COMMON_PART, BAD_PART, '1')
+            response = await rig.request('/stream/', **header)
+            assert not response.complete
+            assert sum(len(w.crashes) for w in rig.workers) == 1
+
+    asyncio.run(run())
+
+
+def test_a_repeated_request_that_crashes_endpoints_is_not_sent_on() -> None:
+    """It has no parts; its caller, path and body are always the same."""
+    body = b'crash'
+
+    async def run() -> None:
+        async with gateway_set.running_gateways(GATEWAYS) as gateways:
+            crash = workers.CrashOn(body=body, otherwise=workers.complete)
+            for number in range(2, ENDPOINTS + 1):
+                await gateways.rig.add_worker(f'w-{number}')
+            for worker in gateways.rig.workers:
+                worker.script = crash
+            await rigs.wait_until(
+                lambda: all(
+                    p.endpoints == ENDPOINTS for p in gateways.processes
+                )
+            )
+            begun_at = time.monotonic()
+            for number in itertools.count():
+                await gateways.request(
+                    number % GATEWAYS + 1, '/safe/', body=body.decode()
+                )
+                await asyncio.sleep(BAD_INTERVAL_S)
+                if time.monotonic() > begun_at + DURATION_S:
+                    break
+            seen = gateways.rig.workers
+            crashes = sorted(at for w in seen for at in w.crashes)
+            bad = [
+                r.arrived_at
+                for w in seen
+                for r in w.requests
+                if crash.is_fatal(r)
+            ]
+            limit = crashes[:3][-1] + STABLE_WINDOW_S
+            assert sum(at > limit for at in bad) <= MAX_LATE_REQUESTS
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('part', ['first', 'middle', 'next to last'])
+def test_a_bad_part_may_stand_anywhere_but_at_the_end(part: str) -> None:
+    """One gateway that alone sees all crashes holds the part."""
+    parts = {
+        'first': (BAD_PART, COMMON_PART, 'abc', '1'),
+        'middle': (COMMON_PART, BAD_PART, 'abc', '1'),
+        'next to last': (COMMON_PART, 'abc', BAD_PART, '1'),
+    }[part]
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            crash = workers.CrashOn(
+                part=BAD_PART, otherwise=workers.stream_events
+            )
+            names = [f'w-{number}' for number in range(8)]
+            for name in names:
+                await rig.add_worker(name, crash)
+            await rigs.wait_until(lambda: rig.gateway.endpoints == len(names))
+            await rig.wait_until_ready()
+            sound = parts_header(*(p for p in parts if p != BAD_PART))
+            for _ in range(5):
+                assert (await rig.request('/stream/', **sound)).status == 200
+                await rig.request('/stream/', **parts_header(*parts))
+                await asyncio.sleep(1.1)
+            response = await rig.request('/stream/', **parts_header(*parts))
+            assert response.status == 503
+            assert response.body.startswith(b'[1106]')
+            assert (await rig.request('/stream/', **sound)).status == 200
+
+    asyncio.run(run())
--- a/tests/lib/gateway_set.py
+++ b/tests/lib/gateway_set.py
@@ -21,12 +21,18 @@
     processes: list[gateway.GatewayProcess]
     links: list[links.LinkProxy]
 
-    async def request(self, number: int, path: str) -> rigs.Response:
-        """Send a request to a gateway on a new connection."""
+    async def request(
+        self, number: int, path: str, **fields: str
+    ) -> rigs.Response:
+        """Send a request to a gateway on a new connection.
+
+        ``fields`` are as those of :meth:`gateway_rig.Rig.request_head`.
+        """
+        body = fields.get('body', '').encode()
         reader, writer = await asyncio.open_connection(
             address(number), self.processes[number - 1].port
         )
-        writer.write(self.rig.request_head(path)[1])
+        writer.write(self.rig.request_head(path, **fields)[1] + body)
         try:
             return await rigs.read_response(reader)
         finally:
