Keep requests from endpoints that end under requests like them

Callers saw: requests with one part in their prompts ended one back end after the other (BUDGET), each of a group of 16 ranks, so that for half a minute hardly a stream was served.

Cause: what ended endpoints had in common is known to no gateway. Class of fault: what can be seen only over several exchanges and at several gateways is counted by none.

Change: an attempt that was lost with its endpoint is evidence against the fingerprints of its request: the parts of the prompt but the last, and caller, path and body together. Gateways pool the evidence in peer updates, relayed by all, so that a new process has it with the first one. crash_evidence infers the fewest causes: three crashes apart in time, five for what was answered in the minute before; an answer clears what was before it; an endpoint that outlives a broken answer speaks against suspects. A cause is refused at once with 1106 (503, it has not run), and is checked again right before it is sent. A request under which an endpoint ended goes to no second one unless its parts were answered lately.

Ruled out: a quarantine per request, as no two are alike; a threshold of each gateway alone, as nine ends at eight gateways are about one each.

--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -42,6 +42,7 @@
     NO_PLACE = 1103
     ENDPOINTS_AT_LIMIT = 1104
     ENDPOINTS_BACKED_OFF = 1105
+    QUARANTINED = 1106
     NO_ENDPOINT = 1200
     DRAINING = 1201
     DEADLINE_PASSED = 1202
@@ -95,6 +96,8 @@
     'states; retry after `Retry-After`',
     Code.ENDPOINTS_BACKED_OFF: 'every endpoint asked for no requests for a '
     'while; retry after `Retry-After`',
+    Code.QUARANTINED: 'endpoints ended under requests like this one; it was '
+    'not sent to another',
     Code.NO_ENDPOINT: 'no endpoint of the service accepts requests',
     Code.DRAINING: 'the entry or the endpoint is shutting down',
     Code.DEADLINE_PASSED: 'the deadline passed before the call started',
--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -23,6 +23,11 @@
 accepts; the longest round trip between zones is 3 ms."""
 
 
+CRASH_DELAY = datetime.timedelta(seconds=1)
+"""Time after its first output in which a request may crash an endpoint; one
+that is answered for longer is not the cause."""
+
+
 class Attempt:
     """Sends a request to one endpoint and receives the response."""
 
@@ -51,7 +56,7 @@
             rate_limit=self._core.rate_limits.rate(endpoint.name),
             left_ms=self._call.remaining_ms,
             plan=self._core.plan_version,
-            parts=self._call.parts.shared,
+            parts=self._call.fingerprints.parts,
         )
         self._call.response_end = None
         self._call.first_output_at = None
@@ -63,20 +68,43 @@
             result = outcome.AttemptResult.TIMED_OUT
         finally:
             endpoint.in_flight -= 1
-        if result is outcome.AttemptResult.LOST:
-            await self._check_endpoint()
         self._update_state(result)
+        if result is outcome.AttemptResult.LOST:
+            return await self._explain_loss()
+        if result is outcome.AttemptResult.ANSWERED:
+            self._core.quarantine.record_answer(
+                self._call.fingerprints, self._core.clock.now()
+            )
         return result
 
-    async def _check_endpoint(self) -> None:
-        """Find out whether the endpoint ended under the attempt."""
+    async def _explain_loss(self) -> outcome.AttemptResult:
+        """Find out whether the endpoint ended under the lost attempt."""
         lost_at = self._core.clock.now()
-        if await endpoint_probe.is_listening(self._endpoint.listing):
-            return
         first_output_at = self._call.first_output_at
-        output_ms = None
+        written = None
         if first_output_at is not None:
-            output_ms = clock_module.to_ms(lost_at - first_output_at)
+            written = lost_at - first_output_at
+        request = self._call.fingerprints
+        quarantine = self._core.quarantine
+        if await endpoint_probe.is_listening(self._endpoint.listing):
+            if written is not None and written >= CRASH_DELAY:
+                quarantine.record_answer(request, lost_at)
+            elif written is not None:
+                quarantine.record_survival(request)
+            return outcome.AttemptResult.LOST
+        self._log_end(written)
+        self._core.directory.record_unreachable(self._endpoint, lost_at)
+        if self._endpoint.leaving:
+            return outcome.AttemptResult.LOST
+        if written is None or written < CRASH_DELAY:
+            incarnation = self._endpoint.listing.incarnation
+            quarantine.record_crash(incarnation, request, lost_at)
+        if quarantine.may_retry(request, lost_at):
+            return outcome.AttemptResult.LOST
+        return outcome.AttemptResult.ENDED
+
+    def _log_end(self, written: datetime.timedelta | None) -> None:
+        """Log that the endpoint ended, ``written`` after its first output."""
         self._core.metrics.increment(
             'endpoint_ends', self._endpoint.listing.service
         )
@@ -85,8 +113,8 @@
             call=self._call.id,
             endpoint=self._endpoint.name,
             leaving=self._endpoint.leaving,
-            output_ms=output_ms,
-            parts=self._call.parts.shared,
+            output_ms=None if written is None else clock_module.to_ms(written),
+            fingerprints=self._call.fingerprints.all(),
         )
 
     async def _connect_and_send(self) -> outcome.AttemptResult:
@@ -99,8 +127,11 @@
             self._history.unreachable += 1
             return outcome.AttemptResult.NOT_SENT
         try:
-            if self._endpoint.is_withdrawn(self._core.clock.now()):
+            now = self._core.clock.now()
+            if self._endpoint.is_withdrawn(now):
                 return outcome.AttemptResult.WITHDRAWN
+            if self._core.quarantine.find(self._call.fingerprints, now):
+                return outcome.AttemptResult.QUARANTINED
             return await self._send_request(connection)
         finally:
             connection.close()
--- a/src/aspenfold/_internal/gateway/call.py
+++ b/src/aspenfold/_internal/gateway/call.py
@@ -5,6 +5,7 @@
 import math
 
 from aspenfold._internal.gateway import event_stream
+from aspenfold._internal.gateway import fingerprints as fingerprints_module
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import response_end as end_module
@@ -47,6 +48,18 @@
     response_end: end_module.ResponseEnd | None = None
     first_output_at: datetime.datetime | None = None
     parts: prompt_parts.PromptParts = prompt_parts.NONE
+    _fingerprints: fingerprints_module.RequestFingerprints | None = None
+
+    @property
+    def fingerprints(self) -> fingerprints_module.RequestFingerprints:
+        """What the request, once admitted, has in common with others."""
+        if self._fingerprints is None:
+            self._fingerprints = fingerprints_module.RequestFingerprints(
+                request=self.request,
+                organisation=self.organisation,
+                parts=self.parts,
+            )
+        return self._fingerprints
 
     @property
     def age(self) -> datetime.timedelta:
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -13,6 +13,7 @@
 from aspenfold._internal.gateway import outages
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index as plan_index_module
+from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.gateway import settings
@@ -75,6 +76,7 @@
         self._budgets: dict[str, shared_budget.SharedBudget] = {}
         self._gateway_count = 1
         self.outages = outages.Outages(clock=clock)
+        self.quarantine = quarantine.Quarantine(host=cfg.name)
         self._plain_routing = self._create_policy(PLAIN_ROUTING_POLICY)
         self._group_routing = self._create_policy(GROUP_ROUTING_POLICY)
 
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -0,0 +1,288 @@
+"""Infers which requests crash endpoints from the crashes of all gateways.
+
+A crash has as suspects the fingerprints of the requests that an endpoint may
+have begun to answer when it ended.  One crash shows nothing: an endpoint may
+end for any reason, and beside the request that ended it were others.  Over
+several crashes the cause is what they have in common and what no endpoint
+answered since:
+
+* An answer clears its fingerprints of all crashes before it.
+* Crashes close to each other count once, as one failure of a host, a rack or a
+  link may cause them all.
+* An endpoint that outlives an answer which it has begun, but which broke off,
+  speaks against the suspects of that request.
+* What endpoints answered shortly before the crashes is more likely beside the
+  cause than the cause itself, and needs more crashes.
+* Of the fingerprints that could explain the crashes the fewest are chosen.
+  One that is chosen explains its crashes for all others.
+
+This module only makes decisions: it does no I/O and reads no clock.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import datetime
+import typing
+
+from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.kernel import clock
+
+Fingerprint = fingerprints.Fingerprint
+
+MIN_CRASHES = 3
+"""Crashes, apart in time, after which a fingerprint is a cause."""
+
+MIN_CRASHES_ANSWERED = 5
+"""The same for one that was answered shortly before the first crash."""
+
+ANSWER_MEMORY = datetime.timedelta(minutes=1)
+"""How long before a crash an answer makes a fingerprint unlikely."""
+
+EPISODE = datetime.timedelta(milliseconds=500)
+"""Crashes within this time count once."""
+
+CRASH_MEMORY = datetime.timedelta(minutes=10)
+
+MAX_CRASHES = 64
+"""Crashes that are remembered, the latest ones."""
+
+MAX_SUSPECTS = 32
+"""Suspects of one crash, those that were never answered first."""
+
+MAX_ANSWERED = 4_096
+"""Fingerprints of which answers are remembered, the latest ones."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Crash:
+    """The end of one start of an endpoint at ``at``, and its suspects."""
+
+    incarnation: str
+    at: datetime.datetime
+    suspects: set[Fingerprint]
+
+
+class Inference(typing.Protocol):
+    """Tells the causes of crashes from the evidence."""
+
+    def record_crash(
+        self,
+        incarnation: str,
+        suspects: abc.Iterable[Fingerprint],
+        at: datetime.datetime,
+    ) -> None:
+        """Add the crash of an endpoint, or suspects of a known one."""
+
+    def record_answer(
+        self, fingerprint: Fingerprint, at: datetime.datetime
+    ) -> None:
+        """Note that an endpoint answered a request at ``at``."""
+
+    def record_survival(self, fingerprint: Fingerprint) -> None:
+        """Note that an endpoint outlived an answer that it had begun."""
+
+    def causes(
+        self, known: abc.Collection[Fingerprint], now: datetime.datetime
+    ) -> list[Fingerprint]:
+        """Return the new causes, beside those that are ``known``."""
+
+
+class CrashEvidence:
+    """Crashes and answers that this and other gateways saw.
+
+    ``version`` changes with each new crash or suspect.
+    """
+
+    def __init__(self) -> None:
+        self._crashes: list[Crash] = []
+        self._answered_at: collections.OrderedDict[
+            Fingerprint, datetime.datetime
+        ] = collections.OrderedDict()
+        self._survivals: collections.Counter[Fingerprint] = (
+            collections.Counter()
+        )
+        self.version = 0
+
+    @property
+    def crashes(self) -> abc.Sequence[Crash]:
+        """The crashes that are remembered, in order of their times."""
+        return self._crashes
+
+    def most_telling(self, limit: int) -> list[Crash]:
+        """Return the crashes that have the most in common with others."""
+        counts = collections.Counter(
+            suspect
+            for crash in self._crashes
+            for suspect in crash.suspects
+            if self._is_open(suspect, crash)
+        )
+
+        def rank(crash: Crash) -> tuple[int, datetime.datetime]:
+            return max(
+                (counts[s] for s in crash.suspects), default=0
+            ), crash.at
+
+        return sorted(self._crashes, key=rank, reverse=True)[:limit]
+
+    def unlikely_last(
+        self, suspects: abc.Iterable[Fingerprint]
+    ) -> list[Fingerprint]:
+        """Return suspects in order of their last answers, if any."""
+        return sorted(
+            suspects, key=lambda s: (self._answered_at.get(s, clock.EPOCH), s)
+        )
+
+    def answered_at(
+        self, fingerprint: Fingerprint
+    ) -> datetime.datetime | None:
+        """Return when it was last answered, None if that is not known."""
+        return self._answered_at.get(fingerprint)
+
+    def was_answered(
+        self, fingerprint: Fingerprint, at: datetime.datetime
+    ) -> bool:
+        """Return whether it was answered shortly before ``at`` or since."""
+        answered_at = self._answered_at.get(fingerprint)
+        return answered_at is not None and answered_at > at - ANSWER_MEMORY
+
+    def count_crashes(self, fingerprint: Fingerprint) -> int:
+        """Return of how many crashes it may be the cause."""
+        return sum(self._is_open(fingerprint, c) for c in self._crashes)
+
+    def record_crash(
+        self,
+        incarnation: str,
+        suspects: abc.Iterable[Fingerprint],
+        at: datetime.datetime,
+    ) -> None:
+        """Add the crash of an endpoint, or suspects of a known one."""
+        crash = self._find(incarnation)
+        if crash is None:
+            crash = Crash(incarnation=incarnation, at=at, suspects=set())
+            self._crashes.append(crash)
+            self.version += 1
+        # What is told late, by a suspended gateway, seems to be later.
+        crash.at = min(crash.at, at)
+        self._crashes.sort(key=lambda one: one.at)
+        del self._crashes[:-MAX_CRASHES]
+        for suspect in self.unlikely_last(suspects):
+            if suspect in crash.suspects:
+                continue
+            if len(crash.suspects) < MAX_SUSPECTS:
+                crash.suspects.add(suspect)
+                self.version += 1
+
+    def _find(self, incarnation: str) -> Crash | None:
+        for crash in self._crashes:
+            if crash.incarnation == incarnation:
+                return crash
+        return None
+
+    def record_answer(
+        self, fingerprint: Fingerprint, at: datetime.datetime
+    ) -> None:
+        """Note that an endpoint answered a request at ``at``."""
+        known = self._answered_at.get(fingerprint)
+        if known is not None:
+            at = max(at, known)
+        self._answered_at[fingerprint] = at
+        self._answered_at.move_to_end(fingerprint)
+        if len(self._answered_at) > MAX_ANSWERED:
+            self._answered_at.popitem(last=False)
+
+    def record_survival(self, fingerprint: Fingerprint) -> None:
+        """Note that an endpoint outlived an answer that it had begun."""
+        if self._crashes:
+            self._survivals[fingerprint] += 1
+
+    def forget_old(self, now: datetime.datetime) -> None:
+        """Forget crashes that are too old to matter."""
+        begin = now - CRASH_MEMORY
+        if self._crashes and self._crashes[0].at < begin:
+            self._crashes = [c for c in self._crashes if c.at >= begin]
+        if not self._crashes:
+            self._survivals.clear()
+
+    def causes(
+        self, known: abc.Collection[Fingerprint], now: datetime.datetime
+    ) -> list[Fingerprint]:
+        """Return the new causes, beside those that are ``known``."""
+        self.forget_old(now)
+        unexplained = [
+            crash
+            for crash in self._crashes
+            if not any(k in crash.suspects for k in known)
+        ]
+        found: list[Fingerprint] = []
+        while len(unexplained) >= MIN_CRASHES:
+            chosen = self._best_causes(unexplained)
+            if not chosen:
+                break
+            found += chosen
+            unexplained = [
+                crash
+                for crash in unexplained
+                if not crash.suspects.intersection(chosen)
+            ]
+        return found
+
+    def _best_causes(self, crashes: abc.Sequence[Crash]) -> list[Fingerprint]:
+        """Return the best cause, several if nothing tells them apart."""
+        times = collections.defaultdict(list)
+        for crash in crashes:
+            for suspect in crash.suspects:
+                if self._is_open(suspect, crash):
+                    times[suspect].append(crash.at)
+        ranks = {
+            suspect: self._rank(suspect, ats)
+            for suspect, ats in times.items()
+            if self._is_cause(suspect, ats)
+        }
+        if not ranks:
+            return []
+        best = min(ranks.values())
+        return sorted(s for s, rank in ranks.items() if rank == best)
+
+    def _is_open(self, suspect: Fingerprint, crash: Crash) -> bool:
+        """Return whether no answer clears a suspect of a crash."""
+        if suspect not in crash.suspects:
+            return False
+        answered_at = self._answered_at.get(suspect)
+        return answered_at is None or answered_at <= crash.at
+
+    def _is_cause(
+        self, suspect: Fingerprint, times: abc.Sequence[datetime.datetime]
+    ) -> bool:
+        if len(times) <= self._survivals[suspect]:
+            return False
+        needed = MIN_CRASHES
+        if self.was_answered(suspect, times[0]):
+            needed = MIN_CRASHES_ANSWERED
+        return count_episodes(times) >= needed
+
+    def _rank(
+        self, suspect: Fingerprint, times: abc.Sequence[datetime.datetime]
+    ) -> tuple[bool, int, int, bool]:
+        """Return the order of causes; the least one is the best.
+
+        It was not answered, met no endpoint that outlived it, explains the
+        most crashes, and is the narrowest.
+        """
+        return (
+            self.was_answered(suspect, times[0]),
+            self._survivals[suspect],
+            -len(times),
+            not fingerprints.is_request(suspect),
+        )
+
+
+def count_episodes(times: abc.Iterable[datetime.datetime]) -> int:
+    """Return how many of the times, in order, are EPISODE or more apart."""
+    count = 0
+    begun_at: datetime.datetime | None = None
+    for at in times:
+        if begun_at is None or at - begun_at >= EPISODE:
+            begun_at = at
+            count += 1
+    return count
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -54,6 +54,13 @@
     started_ms: int | None = None
     unknown_fields: tuple[str, ...] = ()
 
+    @property
+    def incarnation(self) -> str:
+        """The name of this start, if starts can be told apart."""
+        if self.started_ms is None:
+            return self.name
+        return f'{self.name}@{self.started_ms}'
+
     def is_later_start(self, other: 'Listing') -> bool:
         """Return whether the endpoint was started anew since ``other``."""
         if self.started_ms is None or other.started_ms is None:
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -13,6 +13,7 @@
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index as plan_index_module
 from aspenfold._internal.gateway import prompt_parts
+from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import refusal
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.kernel import clock as clock_module
@@ -112,6 +113,12 @@
         self._call.service = self._core.choose_service(route)
         time_left = min(route.timeout, self._time_left)
         self._call.deadline = request.received_at + time_left
+        hold = self._core.quarantine.find(
+            self._call.fingerprints, self._core.clock.now()
+        )
+        if hold is not None:
+            self._refuse_quarantined(hold)
+            return None
         if self._core.refusing:
             self._refuse(Code.DRAINING, 'the gateway process is shutting down')
             return None
@@ -242,6 +249,8 @@
         detail = f'{self.endpoint}: {result.value}'
         if result is outcome.AttemptResult.GROUP_UNAVAILABLE:
             self._refuse(Code.GROUP_DOWN, detail)
+        elif result is outcome.AttemptResult.QUARANTINED:
+            self._refuse(Code.QUARANTINED, detail)
         elif self._core.next_permission(self._call.service) == GRANTED:
             self._refuse(Code.OVERLOADED, detail)
         else:
@@ -304,6 +313,14 @@
         delay = permission.until - self._core.clock.now()
         self._refuse(code, f'every endpoint of {service} {reason}', delay)
 
+    def _refuse_quarantined(self, hold: quarantine.Hold) -> None:
+        self._refuse(
+            Code.QUARANTINED,
+            f'{hold.crashes} endpoints ended under requests with '
+            f'{hold.fingerprint}',
+            hold.ends_at() - self._core.clock.now(),
+        )
+
     def _refuse(
         self,
         code: Code,
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/fingerprints.py
@@ -0,0 +1,69 @@
+"""Fingerprints: what a request has in common with others.
+
+A part of its prompt is one, and so is the whole request: its caller, method,
+host, path and body.  Only digests leave this module.
+"""
+
+import base64
+import functools
+import hashlib
+import typing
+
+from aspenfold._internal.gateway import forwarding
+from aspenfold._internal.gateway import prompt_parts
+from aspenfold._internal.network import http1_server
+
+Fingerprint = typing.NewType('Fingerprint', str)
+"""The kind, one character, and the digest."""
+
+PART_KIND = 'p'
+REQUEST_KIND = 'r'
+
+DIGEST_BYTES = 8
+
+
+def of_part(part: str) -> Fingerprint:
+    """Return the fingerprint of a prompt's part with this digest."""
+    return Fingerprint(PART_KIND + part)
+
+
+def is_request(fingerprint: Fingerprint) -> bool:
+    """Return whether it is the fingerprint of whole requests."""
+    return fingerprint.startswith(REQUEST_KIND)
+
+
+class RequestFingerprints:
+    """The fingerprints of one request; ``parts`` are those of its prompt."""
+
+    def __init__(
+        self,
+        *,
+        request: http1_server.Request,
+        organisation: str,
+        parts: prompt_parts.PromptParts,
+    ) -> None:
+        self._request = request
+        self._organisation = organisation
+        self.parts = tuple(of_part(part) for part in parts.shared)
+
+    @functools.cached_property
+    def whole(self) -> Fingerprint:
+        """The fingerprint of the whole request."""
+        request = self._request
+        value = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        fields = (
+            self._organisation.encode(),
+            request.method,
+            forwarding.host_name(request).encode(),
+            request.target,
+            request.body,
+        )
+        for field in fields:
+            value.update(b'%d:' % len(field))
+            value.update(field)
+        encoded = base64.urlsafe_b64encode(value.digest()).rstrip(b'=')
+        return Fingerprint(REQUEST_KIND + encoded.decode())
+
+    def all(self) -> tuple[Fingerprint, ...]:
+        """Return all fingerprints, that of the whole request first."""
+        return (self.whole, *self.parts)
--- a/src/aspenfold/_internal/gateway/outcome.py
+++ b/src/aspenfold/_internal/gateway/outcome.py
@@ -18,6 +18,9 @@
     WITHDRAWN = 'withdrawn'
     """The endpoint asked for no more requests before this one was sent."""
 
+    QUARANTINED = 'quarantined'
+    """Endpoints ended under requests like this one before it was sent."""
+
     DECLINED = 'declined'
     """The endpoint stated that it did not run the request."""
 
@@ -30,6 +33,9 @@
     FAILED = 'failed'
     """The endpoint may have run the request and responded with a failure."""
 
+    ENDED = 'ended'
+    """The endpoint ended, and the request may be the cause."""
+
     LOST = 'lost'
     """No usable response arrived; the request may have run."""
 
@@ -47,6 +53,7 @@
     {
         AttemptResult.NOT_SENT,
         AttemptResult.WITHDRAWN,
+        AttemptResult.QUARANTINED,
         AttemptResult.DECLINED,
         AttemptResult.GROUP_UNAVAILABLE,
         AttemptResult.REPLACED,
@@ -56,11 +63,13 @@
 NOT_RETRYABLE = frozenset(
     {
         AttemptResult.TIMED_OUT,
+        AttemptResult.ENDED,
+        AttemptResult.QUARANTINED,
         AttemptResult.GROUP_UNAVAILABLE,
         AttemptResult.OVERSIZED,
     }
 )
-"""Results after which an attempt at another endpoint cannot help."""
+"""Results after which there is no attempt at another endpoint."""
 
 
 class NextStep(enum.Enum):
--- a/src/aspenfold/_internal/gateway/peer_update.py
+++ b/src/aspenfold/_internal/gateway/peer_update.py
@@ -8,15 +8,13 @@
 
 import orjson
 
+from aspenfold._internal.gateway import ages
+from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.gateway import rate_limits
-from aspenfold._internal.kernel import clock
 
 MAX_DATAGRAM_BYTES = 1400
 """Below the packet size of common networks."""
 
-MAX_AGE = datetime.timedelta(days=365)
-"""Longer ages are invalid; a process doesn't run that long."""
-
 
 class InvalidUpdate(ValueError):
     """A datagram is not an update."""
@@ -31,7 +29,8 @@
     fencing token of a leader, else 0; a leader also sends the
     ``slowdowns`` of slow endpoints.  ``is_reader`` is whether it reads the
     store itself.  ``recovery_ages`` is how long ago groups recovered.
-    ``rate_reports`` are on endpoints with rate limits.
+    ``rate_reports`` are on endpoints with rate limits, ``quarantine`` is on
+    requests under which endpoints ended.
     """
 
     host: str
@@ -45,6 +44,7 @@
     is_reader: bool
     recovery_ages: dict[str, datetime.timedelta]
     rate_reports: dict[str, rate_limits.Report]
+    quarantine: quarantine_report.Report = quarantine_report.EMPTY
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -63,25 +63,33 @@
     """Encode an update within MAX_DATAGRAM_BYTES.
 
     Requests in flight only help to choose an endpoint, so that some may be
-    left out; everything else must arrive.
+    left out; next, the least telling crashes.  Everything else must arrive.
     """
     counts = dict(
         sorted(update.in_flight_counts.items(), key=lambda one: -one[1])
     )
+    quarantine = update.quarantine
     while True:
-        data = _encode(update, counts)
+        data = _encode(update, counts, quarantine)
         omitted = len(update.in_flight_counts) - len(counts)
         excess = len(data) - MAX_DATAGRAM_BYTES
         if excess <= 0:
             return EncodedUpdate(data=data, omitted=omitted)
         if not counts:
-            return EncodedUpdate(data=None, omitted=omitted)
+            shortened = quarantine.shortened()
+            if shortened is None:
+                return EncodedUpdate(data=None, omitted=omitted)
+            quarantine = shortened
         while counts and excess > 0:
             name, count = counts.popitem()
             excess -= len(orjson.dumps({name: count}))
 
 
-def _encode(update: PeerUpdate, in_flight_counts: dict[str, int]) -> bytes:
+def _encode(
+    update: PeerUpdate,
+    in_flight_counts: dict[str, int],
+    quarantine: quarantine_report.Report,
+) -> bytes:
     return orjson.dumps(
         [
             update.host,
@@ -93,8 +101,9 @@
             update.slowdowns,
             update.zone,
             update.is_reader,
-            {k: _to_ms(v) for k, v in update.recovery_ages.items()},
+            {k: ages.encode(v) for k, v in update.recovery_ages.items()},
             {k: _encode_report(v) for k, v in update.rate_reports.items()},
+            quarantine_report.encode(quarantine),
         ]
     )
 
@@ -119,6 +128,7 @@
     is_reader: object,
     recovery_ages: dict[str, int] | None = None,
     rate_reports: object = None,
+    quarantine: object = None,
     *_: object,
 ) -> PeerUpdate:
     reports = rate_reports if isinstance(rate_reports, dict) else {}
@@ -135,14 +145,17 @@
         zone=str(zone),
         is_reader=bool(is_reader),
         recovery_ages={
-            str(k): _from_ms(v) for k, v in (recovery_ages or {}).items()
+            str(k): ages.decode(v) for k, v in (recovery_ages or {}).items()
         },
         rate_reports={str(k): _decode_report(*v) for k, v in reports.items()},
+        quarantine=quarantine_report.decode(quarantine)
+        if quarantine
+        else quarantine_report.EMPTY,
     )
 
 
 def _encode_report(report: rate_limits.Report) -> list[float | int | None]:
-    age_ms = None if report.age is None else _to_ms(report.age)
+    age_ms = None if report.age is None else ages.encode(report.age)
     return [report.rate, age_ms, report.sent]
 
 
@@ -151,17 +164,6 @@
 ) -> rate_limits.Report:
     return rate_limits.Report(
         rate=None if rate is None else max(0.0, float(rate)),
-        age=None if age_ms is None else _from_ms(age_ms),
+        age=None if age_ms is None else ages.decode(age_ms),
         sent=max(0, int(sent)),
     )
-
-
-def _to_ms(age: datetime.timedelta) -> int:
-    return age // clock.MILLISECOND
-
-
-def _from_ms(value: int) -> datetime.timedelta:
-    age = max(0, int(value)) * clock.MILLISECOND
-    if age > MAX_AGE:
-        raise ValueError(f'an age of {age} is too long')
-    return age
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -16,6 +16,7 @@
 
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import peer_update
+from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.observability import events
@@ -84,7 +85,8 @@
     Requests in flight of peers are added to the endpoints in
     ``endpoint_directory``.
     The attributes ``plan_offset``, ``token``, ``slowdowns``, ``is_reader``,
-    ``recovery_ages`` and ``rate_reports`` are sent with the next update.
+    ``recovery_ages``, ``rate_reports`` and ``quarantine`` are sent with the
+    next update.
     ``zones`` has the zones of peers that did not time out, by host.
     ``rejected`` counts datagrams that were malformed or not from a gateway.
     """
@@ -123,6 +125,7 @@
         self.is_reader = False
         self.recovery_ages: dict[str, datetime.timedelta] = {}
         self.rate_reports: dict[str, rate_limits.Report] = {}
+        self.quarantine = quarantine_report.EMPTY
         self.zones: dict[str, str] = {}
 
     def address(self, host: str) -> settings.TcpAddress | None:
@@ -299,6 +302,7 @@
                 is_reader=self.is_reader,
                 recovery_ages=self.recovery_ages,
                 rate_reports=self.rate_reports,
+                quarantine=self.quarantine,
             )
         )
         if encoded.omitted != self._omitted:
@@ -324,6 +328,7 @@
             self.is_reader,
             sorted(self.recovery_ages),
             [(k, v.rate, v.sent) for k, v in self.rate_reports.items()],
+            self.quarantine.key(),
         )
 
     def _local_and_remote_addresses(
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -0,0 +1,289 @@
+"""Keeps requests from endpoints that end under requests like them.
+
+All gateways gather the evidence together: each tells its peers, in peer
+updates, of the crashes that it knows, whoever saw them, of answers that clear
+suspects, and of what is in quarantine.  So a gateway that is started anew has
+all of it with the first update.
+
+Times cross gateways as ages, so that no two clocks are compared.
+"""
+
+import dataclasses
+import datetime
+
+from aspenfold._internal.gateway import crash_evidence
+from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.gateway import quarantine_report
+from aspenfold._internal.observability import events
+
+Fingerprint = fingerprints.Fingerprint
+RequestFingerprints = fingerprints.RequestFingerprints
+
+CONFIRMATION_DURATION = datetime.timedelta(milliseconds=300)
+"""Time from a verdict to its effect, in which peers may clear the suspect:
+some of their updates."""
+
+IDLE_DURATION = datetime.timedelta(hours=1)
+"""A quarantine ends if no such request came for this long."""
+
+MAX_QUARANTINED = 32
+"""Fingerprints in quarantine, the latest ones."""
+
+MAX_REPORTED_CRASHES = 6
+"""Crashes in one peer update, the latest ones."""
+
+MAX_REPORTED_SUSPECTS = 6
+
+MIN_CRASHES_OF_REQUEST = 2
+"""Crashes under the same request after which it is not tried again."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Hold:
+    """A fingerprint in quarantine.
+
+    ``crashes`` is how many endpoints had ended under such requests, and
+    ``source`` the gateway from which it is known.
+    """
+
+    fingerprint: Fingerprint
+    begun_at: datetime.datetime
+    seen_at: datetime.datetime
+    crashes: int
+    source: str
+
+    def ends_at(self) -> datetime.datetime:
+        """Return when it ends if no such request comes until then."""
+        return self.seen_at + IDLE_DURATION
+
+
+class Quarantine:
+    """Decides which requests are kept from all endpoints."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        evidence: crash_evidence.CrashEvidence | None = None,
+    ) -> None:
+        """``host`` is this gateway's."""
+        self._host = host
+        self._evidence = evidence or crash_evidence.CrashEvidence()
+        self._holds: dict[Fingerprint, Hold] = {}
+        self._verdicts: dict[Fingerprint, datetime.datetime] = {}
+        self._judged = 0
+        self._cleared: dict[Fingerprint, datetime.datetime] = {}
+        self._telling: list[crash_evidence.Crash] = []
+        self._telling_version = 0
+
+    def count(self) -> int:
+        """Return how many fingerprints are in quarantine."""
+        return len(self._holds)
+
+    def holds(self) -> list[Hold]:
+        """Return all that is in quarantine, the latest last."""
+        return list(self._holds.values())
+
+    def find(
+        self, request: RequestFingerprints, now: datetime.datetime
+    ) -> Hold | None:
+        """Return the hold of a request that came, None if there is none."""
+        if not self._holds:
+            return None
+        candidates = request.parts
+        if any(fingerprints.is_request(held) for held in self._holds):
+            candidates = request.all()
+        for fingerprint in candidates:
+            hold = self._holds.get(fingerprint)
+            if hold is not None:
+                hold.seen_at = now
+                return hold
+        return None
+
+    def may_retry(
+        self, request: RequestFingerprints, now: datetime.datetime
+    ) -> bool:
+        """Return whether a request that lost its endpoint may end another.
+
+        Its parts were answered lately, so that it is not likely the cause.
+        """
+        if self.find(request, now) is not None:
+            return False
+        if not all(self._evidence.was_answered(p, now) for p in request.parts):
+            return False
+        crashes = self._evidence.count_crashes(request.whole)
+        return crashes < MIN_CRASHES_OF_REQUEST
+
+    def record_crash(
+        self,
+        incarnation: str,
+        request: RequestFingerprints,
+        now: datetime.datetime,
+    ) -> None:
+        """Record that an endpoint ended while it may have begun a request."""
+        self._evidence.record_crash(incarnation, request.all(), now)
+        self.update(now)
+
+    def record_answer(
+        self, request: RequestFingerprints, now: datetime.datetime
+    ) -> None:
+        """Record that an endpoint answered a request."""
+        answered = list(request.parts)
+        if self._evidence.crashes or self._holds:
+            answered.append(request.whole)
+        for fingerprint in answered:
+            self._record_answer(fingerprint, now, source=self._host)
+
+    def record_survival(self, request: RequestFingerprints) -> None:
+        """Record that an endpoint outlived an answer that it had begun."""
+        for fingerprint in request.parts:
+            self._evidence.record_survival(fingerprint)
+
+    def _record_answer(
+        self, fingerprint: Fingerprint, at: datetime.datetime, *, source: str
+    ) -> None:
+        self._evidence.record_answer(fingerprint, at)
+        hold = self._holds.get(fingerprint)
+        if hold is not None and at > hold.begun_at:
+            self._end(hold, f'answered at {source}')
+            self._cleared[fingerprint] = at
+            if len(self._cleared) > MAX_QUARANTINED:
+                del self._cleared[next(iter(self._cleared))]
+
+    def release(self, fingerprint: Fingerprint, at: datetime.datetime) -> None:
+        """End a quarantine that an operator released ``at`` this time."""
+        self._record_answer(fingerprint, at, source='an operator')
+
+    def update(self, now: datetime.datetime) -> None:
+        """Put causes into quarantine, and end what no request came for."""
+        for hold in list(self._holds.values()):
+            if hold.ends_at() <= now:
+                self._end(hold, 'no such request came')
+        if not self._verdicts and self._evidence.version == self._judged:
+            return
+        self._judged = self._evidence.version
+        causes = self._evidence.causes(self._holds, now)
+        self._verdicts = {
+            cause: self._verdicts.get(cause, now) for cause in causes
+        }
+        for cause, since in self._verdicts.items():
+            if now - since >= CONFIRMATION_DURATION:
+                self._begin(
+                    Hold(
+                        fingerprint=cause,
+                        begun_at=now,
+                        seen_at=now,
+                        crashes=self._evidence.count_crashes(cause),
+                        source=self._host,
+                    )
+                )
+
+    def _begin(self, hold: Hold) -> None:
+        self._holds[hold.fingerprint] = hold
+        if len(self._holds) > MAX_QUARANTINED:
+            self._end(next(iter(self._holds.values())), 'too many')
+        events.emit(
+            events.Event.QUARANTINE_BEGUN,
+            fingerprint=hold.fingerprint,
+            crashes=hold.crashes,
+            told_by=hold.source,
+        )
+
+    def _end(self, hold: Hold, reason: str) -> None:
+        del self._holds[hold.fingerprint]
+        events.emit(
+            events.Event.QUARANTINE_ENDED,
+            fingerprint=hold.fingerprint,
+            reason=reason,
+        )
+
+    def report(self, now: datetime.datetime) -> quarantine_report.Report:
+        """Return what to tell peers."""
+        crashes = self._telling_crashes(now)
+        suspects = {s for crash in crashes for s in crash.suspects}
+        suspects |= self._holds.keys() | self._cleared.keys()
+        return quarantine_report.Report(
+            crashes=tuple(self._crash_report(c, now) for c in crashes),
+            answer_ages={
+                suspect: now - answered_at
+                for suspect in sorted(suspects)
+                if (answered_at := self._evidence.answered_at(suspect))
+            },
+            holds={
+                hold.fingerprint: quarantine_report.HoldReport(
+                    age=now - hold.begun_at,
+                    seen_age=now - hold.seen_at,
+                    crashes=hold.crashes,
+                )
+                for hold in self._holds.values()
+            },
+        )
+
+    def _telling_crashes(
+        self, now: datetime.datetime
+    ) -> list[crash_evidence.Crash]:
+        if not self._evidence.crashes:
+            return []
+        self._evidence.forget_old(now)
+        if self._telling_version != self._evidence.version:
+            self._telling_version = self._evidence.version
+            self._telling = self._evidence.most_telling(MAX_REPORTED_CRASHES)
+        begin = now - crash_evidence.CRASH_MEMORY
+        return [crash for crash in self._telling if crash.at >= begin]
+
+    def _crash_report(
+        self, crash: crash_evidence.Crash, now: datetime.datetime
+    ) -> quarantine_report.CrashReport:
+        suspects = self._evidence.unlikely_last(crash.suspects)
+        return quarantine_report.CrashReport(
+            incarnation=crash.incarnation,
+            age=now - crash.at,
+            suspects=tuple(suspects[:MAX_REPORTED_SUSPECTS]),
+        )
+
+    def receive(
+        self,
+        peer: str,
+        report: quarantine_report.Report,
+        now: datetime.datetime,
+    ) -> None:
+        """Apply what a peer tells."""
+        for fingerprint, age in report.answer_ages.items():
+            self._record_answer(fingerprint, now - age, source=peer)
+        oldest = now - crash_evidence.CRASH_MEMORY
+        for crash in report.crashes:
+            at = now - crash.age
+            if at >= oldest:
+                self._evidence.record_crash(
+                    crash.incarnation, crash.suspects, at
+                )
+        for fingerprint, told in report.holds.items():
+            self._receive_hold(peer, fingerprint, told, now)
+        if report.crashes:
+            self.update(now)
+
+    def _receive_hold(
+        self,
+        peer: str,
+        fingerprint: Fingerprint,
+        told: quarantine_report.HoldReport,
+        now: datetime.datetime,
+    ) -> None:
+        begun_at, seen_at = now - told.age, now - told.seen_age
+        known = self._holds.get(fingerprint)
+        if known is not None:
+            known.begun_at = min(known.begun_at, begun_at)
+            known.seen_at = max(known.seen_at, seen_at)
+            return
+        answered_at = self._evidence.answered_at(fingerprint)
+        if answered_at is not None and answered_at > begun_at:
+            return
+        hold = Hold(
+            fingerprint=fingerprint,
+            begun_at=begun_at,
+            seen_at=seen_at,
+            crashes=told.crashes,
+            source=peer,
+        )
+        if hold.ends_at() > now:
+            self._begin(hold)
--- a/src/aspenfold/_internal/gateway/refusal.py
+++ b/src/aspenfold/_internal/gateway/refusal.py
@@ -15,6 +15,7 @@
     Code.NO_PLACE: 503,
     Code.ENDPOINTS_AT_LIMIT: 503,
     Code.ENDPOINTS_BACKED_OFF: 503,
+    Code.QUARANTINED: 503,
     Code.DRAINING: 503,
     Code.GROUP_DOWN: 503,
     Code.ENDPOINT_LOST: 502,
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -55,6 +55,8 @@
     ENDPOINT_LEAVING = 511
     FIELD_UNKNOWN = 512
     ENDPOINT_ENDED = 513
+    QUARANTINE_BEGUN = 514
+    QUARANTINE_ENDED = 515
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -121,6 +123,9 @@
     'not known here',
     Event.ENDPOINT_ENDED: 'an endpoint does not listen any more after an '
     'attempt there was lost',
+    Event.QUARANTINE_BEGUN: 'requests with a fingerprint are kept from all '
+    'endpoints, since several ended under them',
+    Event.QUARANTINE_ENDED: 'requests with a fingerprint are sent again',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -221,6 +221,7 @@
             self._core.rate_limits.receive(
                 update.host, update.incarnation, update.rate_reports, now
             )
+            self._core.quarantine.receive(update.host, update.quarantine, now)
 
         peer_socket = await datagrams.listen(
             self._cfg.address, self._cfg.peer_port, receive
@@ -235,6 +236,8 @@
             self._peers.is_reader = self._selection.is_reader(now)
             self._peers.recovery_ages = self._core.outages.recent_recoveries()
             self._peers.rate_reports = self._core.rate_limits.reports(now)
+            self._core.quarantine.update(now)
+            self._peers.quarantine = self._core.quarantine.report(now)
             outgoing = self._peers.next_update(now)
             if outgoing is None:
                 continue
--- a/src/aspenfold/_internal/processes/gateway_metrics.py
+++ b/src/aspenfold/_internal/processes/gateway_metrics.py
@@ -35,6 +35,7 @@
         lambda: core.directory.count_backed_off(core.clock.now()),
     )
     add_gauge('leaving_endpoints', core.directory.count_leaving)
+    add_gauge('quarantined_fingerprints', core.quarantine.count)
     add_gauge('reads_store', lambda: selection.is_reader(core.clock.now()))
     add_gauge('store_lost', lambda: selection.store_lost)
     add_gauge('followers', lambda: publisher.followers)
--- a/tests/functional/test_gateway_crashes.py
+++ b/tests/functional/test_gateway_crashes.py
@@ -141,6 +141,15 @@
     assert len(late) <= MAX_LATE_REQUESTS
 
 
+def test_sound_requests_are_served_beside_a_part_that_crashes() -> None:
+    """They share their first part and their caller with the bad ones."""
+    play = played()
+    before = play.served(play.begun_at, play.begun_at + BEFORE_S)
+    learned = play.learned_from + 2 * STABLE_WINDOW_S
+    after = play.served(learned, play.begun_at + BEFORE_S + DURATION_S)
+    assert after >= MIN_SERVED_RATIO * before
+
+
 def test_a_request_that_crashed_an_endpoint_ends_no_second_one() -> None:
     """Its parts have never been answered, so that it may be the cause."""
 
--- /dev/null
+++ b/tests/unit/test_quarantine.py
@@ -0,0 +1,251 @@
+"""Quarantine over several gateways, and its messages."""
+
+import datetime
+
+import hypothesis
+from hypothesis import strategies as st
+
+from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.gateway import peer_update
+from aspenfold._internal.gateway import prompt_parts
+from aspenfold._internal.gateway import quarantine
+from aspenfold._internal.gateway import quarantine_report
+from aspenfold._internal.kernel import clock
+from aspenfold._internal.network import http1_server
+
+SECOND = datetime.timedelta(seconds=1)
+NOW = clock.EPOCH + 10_000 * SECOND
+
+
+def request_with(
+    *parts: str, body: bytes = b'', organisation: str = 'one'
+) -> fingerprints.RequestFingerprints:
+    """Return the fingerprints of a request with these shared parts."""
+    request = http1_server.Request(
+        method=b'POST',
+        target=b'/stream/',
+        headers=[(b'host', b'shop.example')],
+        body=body,
+        received_at=clock.EPOCH,
+        connection_reused=False,
+    )
+    return fingerprints.RequestFingerprints(
+        request=request,
+        organisation=organisation,
+        parts=prompt_parts.PromptParts(shared=parts),
+    )
+
+
+class Gateways:
+    """Gateways that exchange reports at once."""
+
+    def __init__(self, count: int) -> None:
+        self.now = NOW
+        self.all = [
+            quarantine.Quarantine(host=f'g-{number}')
+            for number in range(count)
+        ]
+        self._endpoints = 0
+
+    def crash(
+        self, number: int, request: fingerprints.RequestFingerprints
+    ) -> None:
+        """Let a new endpoint end under a request of a gateway."""
+        self._endpoints += 1
+        self.all[number].record_crash(
+            f'w-{self._endpoints}', request, self.now
+        )
+
+    def wait(self, seconds: float = 1.0) -> None:
+        """Let time pass, with an exchange at its end."""
+        self.now += seconds * SECOND
+        for one in self.all:
+            one.update(self.now)
+        for sender in self.all:
+            report = sender.report(self.now)
+            for one in self.all:
+                if one is not sender:
+                    one.receive('peer', report, self.now)
+
+    def held(self, request: fingerprints.RequestFingerprints) -> list[bool]:
+        """Return whether each gateway keeps a request back."""
+        return [one.find(request, self.now) is not None for one in self.all]
+
+
+def test_crashes_at_three_gateways_make_one_verdict_at_all() -> None:
+    """None of them has seen more than one."""
+    gateways = Gateways(8)
+    for number in range(3):
+        gateways.crash(number, request_with('a', 'bad', body=b'%d' % number))
+        gateways.all[7].record_answer(request_with('a'), gateways.now)
+        gateways.wait()
+    gateways.wait()
+    assert gateways.held(request_with('x', 'bad')) == [True] * 8
+    assert gateways.held(request_with('a')) == [False] * 8
+
+
+def test_a_suspect_is_cleared_by_the_answer_of_any_gateway() -> None:
+    """The others never sent a request with it."""
+    gateways = Gateways(4)
+    for number in range(5):
+        gateways.crash(number % 3, request_with('a', body=b'%d' % number))
+        gateways.wait()
+        gateways.all[3].record_answer(request_with('a'), gateways.now)
+        gateways.wait()
+    assert gateways.held(request_with('a')) == [False] * 4
+
+
+def test_a_new_gateway_knows_the_quarantine_from_any_peer() -> None:
+    """Also once the crashes themselves are forgotten."""
+    gateways = Gateways(2)
+    for number in range(3):
+        gateways.crash(0, request_with('bad', body=b'%d' % number))
+        gateways.wait()
+    gateways.wait(700)
+    gateways.all[0] = quarantine.Quarantine(host='g-0')
+    gateways.wait()
+    assert gateways.held(request_with('bad')) == [True, True]
+
+
+def test_a_quarantine_lasts_while_such_requests_come_to_any_gateway() -> None:
+    """It ends an hour after the last one."""
+    gateways = Gateways(2)
+    for number in range(3):
+        gateways.crash(0, request_with('bad', body=b'%d' % number))
+        gateways.wait()
+    for _ in range(5):
+        gateways.wait(1800)
+        assert gateways.all[1].find(request_with('bad'), gateways.now)
+    assert gateways.all[0].count() == 1
+    gateways.wait(3601)
+    gateways.wait()
+    assert [one.count() for one in gateways.all] == [0, 0]
+
+
+def test_an_answer_ends_a_quarantine_everywhere() -> None:
+    """A request that was sent before it was answered after all."""
+    gateways = Gateways(3)
+    for number in range(3):
+        gateways.crash(0, request_with('bad', body=b'%d' % number))
+        gateways.wait()
+    gateways.wait()
+    assert gateways.held(request_with('bad')) == [True] * 3
+    gateways.all[2].record_answer(request_with('bad'), gateways.now)
+    gateways.wait()
+    gateways.wait()
+    assert gateways.held(request_with('bad')) == [False] * 3
+
+
+def test_a_repeated_request_is_held_and_others_of_its_path_are_not() -> None:
+    """Another caller may be served another way."""
+    gateways = Gateways(3)
+    for number in range(3):
+        gateways.crash(number, request_with(body=b'crash'))
+        gateways.wait()
+    gateways.wait()
+    assert gateways.held(request_with(body=b'crash')) == [True] * 3
+    assert gateways.held(request_with(body=b'other')) == [False] * 3
+    other = request_with(body=b'crash', organisation='two')
+    assert gateways.held(other) == [False] * 3
+
+
+def test_a_lost_request_is_tried_again_if_its_parts_were_answered() -> None:
+    """The repeat of the cause would end a second endpoint."""
+    one = quarantine.Quarantine(host='g-0')
+    sound = request_with('a')
+    assert not one.may_retry(sound, NOW)
+    one.record_answer(sound, NOW)
+    assert one.may_retry(sound, NOW)
+    assert not one.may_retry(request_with('a', 'bad'), NOW)
+    assert one.may_retry(request_with(), NOW)
+
+
+def test_a_request_that_ended_two_endpoints_is_not_tried_again() -> None:
+    """The first may have been a coincidence."""
+    one = quarantine.Quarantine(host='g-0')
+    request = request_with(body=b'x')
+    one.record_crash('w-1', request, NOW)
+    assert one.may_retry(request, NOW)
+    one.record_crash('w-2', request, NOW + SECOND)
+    assert not one.may_retry(request, NOW + SECOND)
+
+
+NAMES = st.text('abcdefghij-_0123456789', min_size=1, max_size=12)
+FINGERPRINTS = NAMES.map(fingerprints.Fingerprint)
+AGES = st.integers(0, 3_600_000).map(lambda ms: ms * clock.MILLISECOND)
+REPORTS = st.builds(
+    quarantine_report.Report,
+    crashes=st.lists(
+        st.builds(
+            quarantine_report.CrashReport,
+            incarnation=NAMES,
+            age=AGES,
+            suspects=st.lists(FINGERPRINTS, max_size=6).map(tuple),
+        ),
+        max_size=6,
+    ).map(tuple),
+    answer_ages=st.dictionaries(FINGERPRINTS, AGES, max_size=40),
+    holds=st.dictionaries(
+        FINGERPRINTS,
+        st.builds(
+            quarantine_report.HoldReport,
+            age=AGES,
+            seen_age=AGES,
+            crashes=st.integers(0, 99),
+        ),
+        max_size=32,
+    ),
+)
+
+
+def update_with(
+    report: quarantine_report.Report, counts: dict[str, int]
+) -> peer_update.PeerUpdate:
+    """Return an update of a peer."""
+    return peer_update.PeerUpdate(
+        host='front-zone-a-1',
+        incarnation='0011aabb',
+        sequence=7,
+        in_flight_counts=counts,
+        plan_offset=12,
+        token=3,
+        slowdowns={},
+        zone='zone-a',
+        is_reader=True,
+        recovery_ages={},
+        rate_reports={},
+        quarantine=report,
+    )
+
+
+@hypothesis.given(REPORTS, st.dictionaries(NAMES, st.integers(1, 9)))
+def test_an_update_fits_with_any_report(
+    report: quarantine_report.Report, counts: dict[str, int]
+) -> None:
+    """What is in quarantine is left out last."""
+    encoded = peer_update.encode(update_with(report, counts))
+    assert encoded.data is not None
+    assert len(encoded.data) <= peer_update.MAX_DATAGRAM_BYTES
+    decoded = peer_update.decode(encoded.data).quarantine
+    assert decoded.crashes == report.crashes[: len(decoded.crashes)]
+    if decoded.crashes:
+        assert decoded == report or decoded.holds == report.holds
+
+
+@hypothesis.given(
+    st.recursive(
+        st.none() | st.integers() | st.text(max_size=4),
+        lambda inner: (
+            st.lists(inner, max_size=4)
+            | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+        ),
+        max_leaves=12,
+    )
+)
+def test_a_malformed_report_is_rejected(value: object) -> None:
+    """It ends no task of the receiver."""
+    try:
+        report = quarantine_report.decode(value)
+    except (ValueError, TypeError, AttributeError):
+        return
+    quarantine.Quarantine(host='g').receive('peer', report, NOW)
