Withdraw requests that wait at endpoints when their quarantine begins

A request that was sent before the verdict may still be in an endpoint's queue, and ends it when its turn comes: in a group, several of one outage are sent together when it is over. A waiting attempt is closed when a quarantine begins that concerns it, and most endpoints drop what they have not begun; its caller gets 502, as it may have run. It says nothing of its endpoint.

test_a_request_that_waits_at_an_endpoint_is_withdrawn failed before (the request waited for its deadline, 504).

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -86,6 +86,9 @@
             written = lost_at - first_output_at
         request = self._call.fingerprints
         quarantine = self._core.quarantine
+        if quarantine.find(request, lost_at):
+            # Withdrawn, or one of those that are known to end endpoints.
+            return outcome.AttemptResult.ENDED
         if await endpoint_probe.is_listening(self._endpoint.listing):
             if written is not None and written >= CRASH_DELAY:
                 quarantine.record_answer(request, lost_at)
@@ -184,6 +187,14 @@
         An unavailable group refuses requests quickly, so a recovery is
         recorded if the head takes longer than that.
         """
+        request = self._call.fingerprints
+        with self._core.quarantine.waiting(request, connection.close):
+            return await self._read_head_or_recovery(connection)
+
+    async def _read_head_or_recovery(
+        self, connection: http1_client.Connection
+    ) -> http1_client.ResponseHead:
+        """Read the head as :meth:`_read_head` does."""
         if not self._core.outages.is_unavailable(self._endpoint):
             return await connection.read_head()
         loop = asyncio.get_running_loop()
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -8,6 +8,8 @@
 Times cross gateways as ages, so that no two clocks are compared.
 """
 
+from collections import abc
+import contextlib
 import dataclasses
 import datetime
 
@@ -72,6 +74,7 @@
         self._holds: dict[Fingerprint, Hold] = {}
         self._verdicts: dict[Fingerprint, datetime.datetime] = {}
         self._judged = 0
+        self._waiting: dict[RequestFingerprints, abc.Callable[[], None]] = {}
         self._cleared: dict[Fingerprint, datetime.datetime] = {}
         self._telling: list[crash_evidence.Crash] = []
         self._telling_version = 0
@@ -100,6 +103,20 @@
                 return hold
         return None
 
+    @contextlib.contextmanager
+    def waiting(
+        self, request: RequestFingerprints, withdraw: abc.Callable[[], None]
+    ) -> abc.Iterator[None]:
+        """Call ``withdraw`` if a quarantine begins that concerns the request.
+
+        It was sent and waits for its answer, perhaps in an endpoint's queue.
+        """
+        self._waiting[request] = withdraw
+        try:
+            yield
+        finally:
+            del self._waiting[request]
+
     def may_retry(
         self, request: RequestFingerprints, now: datetime.datetime
     ) -> bool:
@@ -188,6 +205,9 @@
             crashes=hold.crashes,
             told_by=hold.source,
         )
+        for request, withdraw in list(self._waiting.items()):
+            if hold.fingerprint in request.all():
+                withdraw()
 
     def _end(self, hold: Hold, reason: str) -> None:
         del self._holds[hold.fingerprint]
--- a/tests/functional/test_gateway_crashes.py
+++ b/tests/functional/test_gateway_crashes.py
@@ -238,3 +238,35 @@
             assert (await rig.request('/stream/', **sound)).status == 200
 
     asyncio.run(run())
+
+
+def test_a_request_that_waits_at_an_endpoint_is_withdrawn() -> None:
+    """It was sent before three others had ended their endpoints."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            slow = await rig.add_worker('w-slow', workers.never_respond)
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 1)
+            await rig.wait_until_ready()
+            header = parts_header(COMMON_PART, BAD_PART, '1')
+            waiting = asyncio.create_task(rig.request('/stream/', **header))
+            await rigs.wait_until(lambda: slow.requests)
+            crash = workers.CrashOn(
+                part=BAD_PART, down_s=9.0, otherwise=workers.stream_events
+            )
+            crashing = [
+                await rig.add_worker(f'w-{number}', crash)
+                for number in range(3)
+            ]
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 4)
+            for number in range(3):
+                # The slow endpoint has a request, so that it is not chosen.
+                response = await rig.request('/stream/', **header)
+                assert response.status == 502
+                assert sum(len(w.crashes) for w in crashing) == number + 1
+                await asyncio.sleep(0.5)
+            response = await waiting
+            assert response.status == 502
+            assert slow.cancelled_count == 1
+
+    asyncio.run(run())
