Keep quarantines, and evidence that peers may not hear, in the store

What gateways tell each other ends with the last of them, and may not pass where only the store can be reached: a gateway that was started anew after all had ended, or cut off from its peers, would let further endpoints end.

A quarantine is written to the store by the gateway whose turn it is (by rendezvous hashing; the next one writes if nothing is there after 0.6 s), and crashes that a gateway sees while it does not hear all others, by those with suspects that were not answered lately. The records stand in the topic of the gateways' addresses, which all read at their start and readers wait at, so that no further call reads them.

test_a_quarantine_outlasts_all_gateways and test_gateways_without_a_path_to_each_other_learn_by_the_store failed before and pass now.

--- a/src/aspenfold/_internal/gateway/peer_discovery.py
+++ b/src/aspenfold/_internal/gateway/peer_discovery.py
@@ -1,11 +1,13 @@
 """Discovers the other gateways through a topic of the store.
 
-A gateway that follows a reader gets the records of this topic from it.
+A gateway that follows a reader gets the records of this topic from it.  What
+else all gateways have to know is in the same topic, under keys with a prefix.
 """
 
 import asyncio
 from collections import abc
 import datetime
+import typing
 
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import ports
@@ -14,7 +16,7 @@
 from aspenfold._internal.observability import events
 
 TOPIC = 'keyed.aspenfold-gateways'
-"""Topic of the gateways' addresses; the key of a record is the host."""
+"""Topic of the gateways' addresses; the key of such a record is the host."""
 
 READ_TIMEOUT = datetime.timedelta(seconds=25)
 """Timeout of a read that waits for new records."""
@@ -27,6 +29,20 @@
 """Delay after a failed read or write, in seconds."""
 
 
+class RecordConsumer(typing.Protocol):
+    """Receives the records whose keys begin with ``key_prefix``."""
+
+    @property
+    def key_prefix(self) -> str:
+        """The prefix, which no host's name begins with."""
+
+    def apply(self, record: ports.Record) -> None:
+        """Apply a record."""
+
+    def snapshot(self) -> tuple[ports.Record, ...]:
+        """Return the records, for a new follower."""
+
+
 class PeerDiscovery:
     """Publishes this gateway's address and reads those of the others."""
 
@@ -37,6 +53,7 @@
         address: settings.TcpAddress,
         store: ports.Store,
         peers: peers_module.Peers,
+        consumer: RecordConsumer,
         is_passive: abc.Callable[[], bool],
         publish: abc.Callable[[relay.RelayedRecords], None],
     ) -> None:
@@ -50,6 +67,7 @@
         self._address = address
         self._store = store
         self._peers = peers
+        self._consumer = consumer
         self._addresses: dict[str, settings.TcpAddress] = {}
         self._next_offset: int | None = None
 
@@ -64,6 +82,10 @@
                 events.emit(events.Event.ROSTER_UNSURE, error=str(exc)[:200])
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def put(self, key: str, value: bytes) -> None:
+        """Write a record; raises :class:`ports.StoreUnavailable`."""
+        await self._store.put(TOPIC, key, value)
+
     async def _poll(self) -> None:
         if self._next_offset is None:
             self._apply_and_publish(await self._store.newest(TOPIC))
@@ -88,12 +110,12 @@
             self._publish(self._relayed_records(page.records))
 
     def snapshot(self) -> relay.RelayedRecords:
-        """Return all addresses, for a new follower."""
-        records = tuple(
+        """Return all records, for a new follower."""
+        addresses = tuple(
             ports.Record(offset=0, key=host, value=str(address).encode())
             for host, address in self._addresses.items()
         )
-        return self._relayed_records(records)
+        return self._relayed_records(addresses + self._consumer.snapshot())
 
     def _relayed_records(
         self, records: tuple[ports.Record, ...]
@@ -110,6 +132,9 @@
 
     def _apply_page(self, page: ports.Page) -> None:
         for record in page.records:
+            if record.key.startswith(self._consumer.key_prefix):
+                self._consumer.apply(record)
+                continue
             address = _parse(record.value)
             if address is None:
                 self._addresses.pop(record.key, None)
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -132,6 +132,10 @@
         """Return the address of a peer, None if it is not known."""
         return self._addresses.get(host)
 
+    def hears_all(self) -> bool:
+        """Return whether no known gateway has timed out."""
+        return self._addresses.keys() <= self.zones.keys()
+
     def is_peer_address(self, ip: str) -> bool:
         """Return whether an IP address belongs to a peer."""
         return any(a.host == ip for a in self._addresses.values())
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -8,6 +8,7 @@
 Times cross gateways as ages, so that no two clocks are compared.
 """
 
+import collections
 from collections import abc
 import contextlib
 import dataclasses
@@ -34,6 +35,9 @@
 MAX_REPORTED_CRASHES = 6
 """Crashes in one peer update, the latest ones."""
 
+MAX_OWN_CRASHES = 8
+"""Crashes that this gateway saw itself and may have to write down."""
+
 MAX_REPORTED_SUSPECTS = 6
 
 MIN_CRASHES_OF_REQUEST = 2
@@ -74,6 +78,9 @@
         self._holds: dict[Fingerprint, Hold] = {}
         self._verdicts: dict[Fingerprint, datetime.datetime] = {}
         self._judged = 0
+        self._own_incarnations: collections.deque[str] = collections.deque(
+            maxlen=MAX_OWN_CRASHES
+        )
         self._waiting: dict[RequestFingerprints, abc.Callable[[], None]] = {}
         self._cleared: dict[Fingerprint, datetime.datetime] = {}
         self._telling: list[crash_evidence.Crash] = []
@@ -139,8 +146,33 @@
     ) -> None:
         """Record that an endpoint ended while it may have begun a request."""
         self._evidence.record_crash(incarnation, request.all(), now)
+        if incarnation not in self._own_incarnations:
+            self._own_incarnations.append(incarnation)
         self.update(now)
 
+    def own_crashes(self) -> list[crash_evidence.Crash]:
+        """Return the crashes that this gateway saw itself."""
+        return [
+            crash
+            for crash in self._evidence.crashes
+            if crash.incarnation in self._own_incarnations
+        ]
+
+    def unanswered(self, crash: crash_evidence.Crash) -> list[Fingerprint]:
+        """Return the suspects of a crash that may be its cause.
+
+        Whole requests are of interest once they come again.
+        """
+        return [
+            suspect
+            for suspect in sorted(crash.suspects)
+            if not self._evidence.was_answered(suspect, crash.at)
+            and (
+                not fingerprints.is_request(suspect)
+                or self._evidence.count_crashes(suspect) > 1
+            )
+        ]
+
     def record_answer(
         self, request: RequestFingerprints, now: datetime.datetime
     ) -> None:
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/quarantine_records.py
@@ -0,0 +1,263 @@
+"""Quarantines and evidence of crashes in the platform's store.
+
+Peer updates are quicker, but end with the last gateway, and may not pass where
+the store can be reached.  So a quarantine is written to the store, by one of
+the gateways that know it, and so are the crashes that a gateway sees while it
+doesn't hear all others.  Records are written seldom, into the topic that all
+gateways read anyway.
+
+Times in records are Unix times; those of a host whose clock is wrong are taken
+for now.
+"""
+
+import asyncio
+from collections import abc
+import datetime
+
+import pydantic
+
+from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import quarantine as quarantine_module
+from aspenfold._internal.gateway import quarantine_report
+from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.observability import events
+from aspenfold._internal.routing import subset
+
+Fingerprint = fingerprints.Fingerprint
+
+KEY_PREFIX = 'quarantine/'
+HOLD_PREFIX = f'{KEY_PREFIX}hold/'
+CRASH_PREFIX = f'{KEY_PREFIX}crash/'
+
+CRASH_SLOTS = 8
+"""Crashes that one gateway keeps in the store, the latest ones."""
+
+POLL_INTERVAL_S = 0.2
+"""How often to look for records to write, in seconds."""
+
+RETRY_DELAY_S = 2.0
+"""Delay after a failed write, in seconds."""
+
+TURN_DURATION = datetime.timedelta(milliseconds=600)
+"""Time for one gateway to write a quarantine before the next one does."""
+
+REFRESH_INTERVAL = datetime.timedelta(minutes=20)
+"""How often to write when the last request of a quarantine came."""
+
+
+class HoldRecord(pydantic.BaseModel):
+    """A quarantine, or its release by an operator; Unix milliseconds."""
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    begun_ms: int = 0
+    seen_ms: int = 0
+    crashes: int = 0
+    released_ms: int | None = None
+
+
+class CrashRecord(pydantic.BaseModel):
+    """The crash of an endpoint, with its suspects."""
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    incarnation: str
+    at_ms: int
+    suspects: tuple[str, ...]
+
+
+class QuarantineRecords:
+    """Reads and writes what gateways know of crashes."""
+
+    key_prefix = KEY_PREFIX
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        quarantine: quarantine_module.Quarantine,
+        clock: clock_module.Clock,
+        wall_clock: clock_module.Clock,
+        peers: abc.Callable[[], abc.Collection[str]],
+        hears_all_peers: abc.Callable[[], bool],
+    ) -> None:
+        """``peers`` returns the hosts of the other gateways alive."""
+        self._host = host
+        self._quarantine = quarantine
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._peers = peers
+        self._hears_all_peers = hears_all_peers
+        self._stored: dict[str, bytes] = {}
+        self._crash_slots: dict[str, int] = {}
+
+    def snapshot(self) -> tuple[ports.Record, ...]:
+        """Return the records, for a new follower."""
+        return tuple(
+            ports.Record(offset=0, key=key, value=value)
+            for key, value in self._stored.items()
+        )
+
+    def apply(self, record: ports.Record) -> None:
+        """Apply a record whose key has the prefix."""
+        if not record.value:
+            self._stored.pop(record.key, None)
+            return
+        self._stored[record.key] = record.value
+        try:
+            if record.key.startswith(HOLD_PREFIX):
+                name = record.key.removeprefix(HOLD_PREFIX)
+                self._apply_hold(Fingerprint(name), record.value)
+            elif record.key.startswith(CRASH_PREFIX):
+                self._apply_crash(record.value)
+        except ValueError as exc:
+            events.emit(
+                events.Event.RECORD_REJECTED,
+                offset=record.offset,
+                error=str(exc)[:200],
+            )
+
+    def _apply_hold(self, fingerprint: Fingerprint, value: bytes) -> None:
+        record = HoldRecord.model_validate_json(value)
+        now = self._clock.now()
+        if record.released_ms is not None:
+            released_at = now - self._age(record.released_ms)
+            self._quarantine.release(fingerprint, released_at)
+            return
+        hold = quarantine_report.HoldReport(
+            age=self._age(record.begun_ms),
+            seen_age=self._age(record.seen_ms),
+            crashes=record.crashes,
+        )
+        report = quarantine_report.Report(holds={fingerprint: hold})
+        self._quarantine.receive('the store', report, now)
+
+    def _apply_crash(self, value: bytes) -> None:
+        record = CrashRecord.model_validate_json(value)
+        crash = quarantine_report.CrashReport(
+            incarnation=record.incarnation,
+            age=self._age(record.at_ms),
+            suspects=tuple(Fingerprint(s) for s in record.suspects),
+        )
+        report = quarantine_report.Report(crashes=(crash,))
+        self._quarantine.receive('the store', report, self._clock.now())
+
+    def _age(self, unix_ms: int) -> datetime.timedelta:
+        now_ms = clock_module.to_unix_ms(self._wall_clock.now())
+        return max(0, now_ms - unix_ms) * clock_module.MILLISECOND
+
+    def _unix_ms(self, at: datetime.datetime) -> int:
+        wall = self._wall_clock.now() - (self._clock.now() - at)
+        return clock_module.to_unix_ms(wall)
+
+    async def run(
+        self, put: abc.Callable[[str, bytes], abc.Awaitable[object]]
+    ) -> None:
+        """Write records with ``put`` when they are due, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            try:
+                for key, value in self.due():
+                    await put(key, value)
+                    self._stored[key] = value
+            except ports.StoreUnavailable as exc:
+                events.emit(
+                    events.Event.QUARANTINE_NOT_STORED, error=str(exc)[:200]
+                )
+                await asyncio.sleep(RETRY_DELAY_S)
+
+    def due(self) -> list[tuple[str, bytes]]:
+        """Return the records to write now; no value removes a key."""
+        found = [*self._due_holds(), *self._due_removals()]
+        if not self._hears_all_peers():
+            found += self._due_crashes()
+        return found
+
+    def _due_holds(self) -> abc.Iterator[tuple[str, bytes]]:
+        now = self._clock.now()
+        for hold in self._quarantine.holds():
+            key = f'{HOLD_PREFIX}{hold.fingerprint}'
+            if now - hold.begun_at < self._turn(hold.fingerprint):
+                continue
+            seen_ms = self._unix_ms(hold.seen_at)
+            stored = self._stored_hold(key)
+            if stored is not None and stored.released_ms is None:
+                unseen = (seen_ms - stored.seen_ms) * clock_module.MILLISECOND
+                if unseen < REFRESH_INTERVAL + self._turn(hold.fingerprint):
+                    continue
+            record = HoldRecord(
+                begun_ms=self._unix_ms(hold.begun_at),
+                seen_ms=seen_ms,
+                crashes=hold.crashes,
+            )
+            yield key, record.model_dump_json(exclude_none=True).encode()
+
+    def _turn(self, fingerprint: Fingerprint) -> datetime.timedelta:
+        """Return when it is this gateway's turn to write of a fingerprint."""
+        mine = subset.score(fingerprint, self._host)
+        before = sum(
+            subset.score(fingerprint, peer) > mine for peer in self._peers()
+        )
+        return before * TURN_DURATION
+
+    def _stored_hold(self, key: str) -> HoldRecord | None:
+        value = self._stored.get(key)
+        if value is None:
+            return None
+        try:
+            return HoldRecord.model_validate_json(value)
+        except ValueError:
+            # It was logged when it was read; write a valid one.
+            return None
+
+    def _due_removals(self) -> abc.Iterator[tuple[str, bytes]]:
+        """Yield the keys of records that matter no more."""
+        idle_ms = quarantine_module.IDLE_DURATION // clock_module.MILLISECOND
+        now_ms = clock_module.to_unix_ms(self._wall_clock.now())
+        for key in [k for k in self._stored if k.startswith(HOLD_PREFIX)]:
+            record = self._stored_hold(key)
+            if record is None:
+                continue
+            last_ms = max(record.seen_ms, record.released_ms or 0)
+            fingerprint = Fingerprint(key.removeprefix(HOLD_PREFIX))
+            turn_ms = self._turn(fingerprint) // clock_module.MILLISECOND
+            if now_ms - last_ms > 2 * idle_ms + turn_ms:
+                yield key, b''
+
+    def _due_crashes(self) -> abc.Iterator[tuple[str, bytes]]:
+        for crash in self._quarantine.own_crashes():
+            suspects = self._quarantine.unanswered(crash)
+            if not suspects:
+                continue
+            slot = self._crash_slots.setdefault(
+                crash.incarnation, len(self._crash_slots)
+            )
+            key = f'{CRASH_PREFIX}{self._host}/{slot % CRASH_SLOTS}'
+            record = CrashRecord(
+                incarnation=crash.incarnation,
+                at_ms=self._unix_ms(crash.at),
+                suspects=tuple(suspects),
+            )
+            if not self._is_stored(key, record):
+                yield key, record.model_dump_json().encode()
+
+    def _is_stored(self, key: str, record: CrashRecord) -> bool:
+        """Return whether a record has at least the suspects of ``record``."""
+        value = self._stored.get(key)
+        if value is None:
+            return False
+        stored = CrashRecord.model_validate_json(value)
+        return stored.incarnation == record.incarnation and set(
+            record.suspects
+        ) <= set(stored.suspects)
+
+
+def parse_holds(page: ports.Page) -> dict[Fingerprint, HoldRecord]:
+    """Return the quarantines in a page of the topic, released ones too."""
+    found = {}
+    for record in page.records:
+        if record.value and record.key.startswith(HOLD_PREFIX):
+            name = Fingerprint(record.key.removeprefix(HOLD_PREFIX))
+            found[name] = HoldRecord.model_validate_json(record.value)
+    return found
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -57,6 +57,7 @@
     ENDPOINT_ENDED = 513
     QUARANTINE_BEGUN = 514
     QUARANTINE_ENDED = 515
+    QUARANTINE_NOT_STORED = 516
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -126,6 +127,8 @@
     Event.QUARANTINE_BEGUN: 'requests with a fingerprint are kept from all '
     'endpoints, since several ended under them',
     Event.QUARANTINE_ENDED: 'requests with a fingerprint are sent again',
+    Event.QUARANTINE_NOT_STORED: 'a quarantine could not be written to the '
+    'store; it is tried again',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -14,6 +14,7 @@
 from aspenfold._internal.gateway import peer_discovery as peer_discovery_module
 from aspenfold._internal.gateway import peers as peers_module
 from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import quarantine_records
 from aspenfold._internal.gateway import rank_client
 from aspenfold._internal.gateway import reader_selection as selection_module
 from aspenfold._internal.gateway import relay
@@ -115,11 +116,20 @@
             rng=random.Random(secrets.randbits(128)),
             is_passive=self._is_passive,
         )
+        self._quarantine_records = quarantine_records.QuarantineRecords(
+            host=cfg.name,
+            quarantine=self._core.quarantine,
+            clock=clock,
+            wall_clock=clock_module.SystemClock(),
+            peers=lambda: self._peers.zones,
+            hears_all_peers=self._peers.hears_all,
+        )
         self._peer_discovery = peer_discovery_module.PeerDiscovery(
             host=cfg.name,
             address=settings.TcpAddress(host=cfg.address, port=cfg.peer_port),
             store=platform.store,
             peers=self._peers,
+            consumer=self._quarantine_records,
             is_passive=self._is_passive,
             publish=self._publisher.publish,
         )
@@ -178,6 +188,9 @@
         self._tasks.spawn(self._feeds.plan.run())
         self._tasks.spawn(self._feeds.endpoints.run())
         self._tasks.spawn(self._peer_discovery.run())
+        self._tasks.spawn(
+            self._quarantine_records.run(self._peer_discovery.put)
+        )
         self._tasks.spawn(self._exchange_peer_updates())
         self._tasks.spawn(self._follower.run())
         self._tasks.spawn(self._groups.run())
--- a/tests/functional/test_gateway_crashes.py
+++ b/tests/functional/test_gateway_crashes.py
@@ -10,6 +10,7 @@
 from aspenfold_standins import platform_worker as workers
 import pytest
 
+from aspenfold._internal.gateway import peers
 from tests.lib import gateway_rig as rigs
 from tests.lib import gateway_set
 
@@ -270,3 +271,68 @@
             assert slow.cancelled_count == 1
 
     asyncio.run(run())
+
+
+async def crash_three(
+    gateways: gateway_set.GatewaySet, crash: workers.CrashOn
+) -> list[workers.Worker]:
+    """Let three endpoints end, each under a request of another gateway."""
+    for number in range(2, 7):
+        await gateways.rig.add_worker(f'w-{number}')
+    for worker in gateways.rig.workers:
+        worker.script = crash
+    await rigs.wait_until(
+        lambda: all(p.endpoints == 6 for p in gateways.processes)
+    )
+    for number in range(1, 4):
+        header = parts_header(COMMON_PART, BAD_PART, f'{number}')
+        await gateways.request(number, '/stream/', **header)
+        await asyncio.sleep(0.6)
+    assert sum(len(w.crashes) for w in gateways.rig.workers) == 3
+    return gateways.rig.workers
+
+
+async def is_refused(gateways: gateway_set.GatewaySet, number: int) -> bool:
+    """Return whether a gateway refuses the part without sending it."""
+    header = parts_header(COMMON_PART, BAD_PART, 'abc')
+    response = await gateways.request(number, '/stream/', **header)
+    return response.body.startswith(b'[1106]')
+
+
+def test_a_quarantine_outlasts_all_gateways() -> None:
+    """The store keeps it; a new one learns it before it may send."""
+    crash = workers.CrashOn(part=BAD_PART, otherwise=workers.stream_events)
+
+    async def run() -> None:
+        async with gateway_set.running_gateways(GATEWAYS) as gateways:
+            seen = await crash_three(gateways, crash)
+            for number in range(1, GATEWAYS + 1):
+                assert await is_refused(gateways, number)
+            await asyncio.sleep(STABLE_WINDOW_S)
+            await gateways.restart_all()
+            await asyncio.sleep(STABLE_WINDOW_S)
+            for number in range(1, GATEWAYS + 1):
+                assert await is_refused(gateways, number)
+            assert sum(len(w.crashes) for w in seen) == 3
+
+    asyncio.run(run())
+
+
+def test_gateways_without_a_path_to_each_other_learn_by_the_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each of them has seen one crash."""
+    crash = workers.CrashOn(part=BAD_PART, otherwise=workers.stream_events)
+    monkeypatch.setattr(peers.Peers, 'receive', lambda *_: None)
+
+    async def run() -> None:
+        async with gateway_set.running_gateways(
+            GATEWAYS, has_peers_path=False
+        ) as gateways:
+            seen = await crash_three(gateways, crash)
+            await asyncio.sleep(STABLE_WINDOW_S)
+            for number in range(1, GATEWAYS + 1):
+                assert await is_refused(gateways, number)
+            assert sum(len(w.crashes) for w in seen) == 3
+
+    asyncio.run(run())
--- a/tests/lib/gateway_set.py
+++ b/tests/lib/gateway_set.py
@@ -18,6 +18,7 @@
     """Gateways of one zone, each with its own link to the store."""
 
     rig: rigs.Rig
+    peer_port: int
     processes: list[gateway.GatewayProcess]
     links: list[links.LinkProxy]
 
@@ -38,6 +39,16 @@
         finally:
             writer.close()
 
+    async def restart_all(self) -> None:
+        """End all gateways at once, then start as many new ones."""
+        count = len(self.processes)
+        for process in self.processes:
+            await process.abort()
+        self.processes.clear()
+        for number in range(1, count + 1):
+            await _start_gateway(self, number)
+        await rigs.wait_until(lambda: all(p.ready for p in self.processes))
+
 
 def address(number: int) -> str:
     """Return the IP address of a gateway; numbers start at 1."""
@@ -45,20 +56,26 @@
 
 
 @contextlib.asynccontextmanager
-async def running_gateways(count: int) -> abc.AsyncIterator[GatewaySet]:
-    """Yield gateways, of which all but the first follow the first."""
+async def running_gateways(
+    count: int, *, has_peers_path: bool = True
+) -> abc.AsyncIterator[GatewaySet]:
+    """Yield gateways, of which all but the first follow the first.
+
+    Without a path between them each reads the store itself.
+    """
     rig = rigs.Rig()
     await rig.store.start()
     await rig.write_plan(rigs.make_plan())
     await rig.add_worker('w-1')
-    gateways = GatewaySet(rig=rig, processes=[], links=[])
     (port,) = free_ports.find_ports(address(1), 1)
+    gateways = GatewaySet(rig=rig, peer_port=port, processes=[], links=[])
     try:
         for number in range(1, count + 1):
-            await _start_gateway(gateways, number, port)
+            await _start_gateway(gateways, number)
         processes = gateways.processes
         await rigs.wait_until(lambda: all(p.ready for p in processes))
-        await rigs.wait_until(lambda: processes[0].followers == count - 1)
+        if has_peers_path:
+            await rigs.wait_until(lambda: processes[0].followers == count - 1)
         yield gateways
     finally:
         for process in gateways.processes:
@@ -70,9 +87,7 @@
         await rig.store.stop()
 
 
-async def _start_gateway(
-    gateways: GatewaySet, number: int, peer_port: int
-) -> None:
+async def _start_gateway(gateways: GatewaySet, number: int) -> None:
     link = links.LinkProxy(
         target_host=rigs.LOOPBACK, target_port=gateways.rig.store.port
     )
@@ -81,7 +96,7 @@
     process = rigs.make_gateway(
         name=f'gateway-{number}',
         address=address(number),
-        peer_port=peer_port,
+        peer_port=gateways.peer_port,
         store_port=link.port,
     )
     gateways.processes.append(process)
