Tell requests without a body apart by their prompts

Their caller and path are those of many sound requests, so that a quarantine of one would have kept all of them back. Found by the test of the operators' commands, which expected a part to be held and got the request.

--- a/src/aspenfold/_internal/gateway/fingerprints.py
+++ b/src/aspenfold/_internal/gateway/fingerprints.py
@@ -1,7 +1,8 @@
 """Fingerprints: what a request has in common with others.
 
 A part of its prompt is one, and so is the whole request: its caller, method,
-host, path and body.  Only digests leave this module.
+host, path and body, or the parts of its prompt if there is no body.  Only
+digests leave this module.
 """
 
 import base64
@@ -44,19 +45,21 @@
     ) -> None:
         self._request = request
         self._organisation = organisation
+        self._prompt = parts
         self.parts = tuple(of_part(part) for part in parts.shared)
 
     @functools.cached_property
     def whole(self) -> Fingerprint:
         """The fingerprint of the whole request."""
         request = self._request
+        prompt = (*self._prompt.shared, self._prompt.own)
         value = hashlib.blake2b(digest_size=DIGEST_BYTES)
         fields = (
             self._organisation.encode(),
             request.method,
             forwarding.host_name(request).encode(),
             request.target,
-            request.body,
+            request.body or ','.join(prompt).encode(),
         )
         for field in fields:
             value.update(b'%d:' % len(field))
--- a/src/aspenfold/_internal/gateway/prompt_parts.py
+++ b/src/aspenfold/_internal/gateway/prompt_parts.py
@@ -23,10 +23,12 @@
     """The parts of one request's prompt.
 
     ``shared`` has the digests of all valid parts but the last, in order and
-    each once.  ``invalid`` counts the entries that could not be read.
+    each once; ``own`` is the last one's, empty if there is none.  ``invalid``
+    counts the entries that could not be read.
     """
 
     shared: tuple[str, ...] = ()
+    own: str = ''
     invalid: int = 0
 
 
@@ -44,8 +46,10 @@
         return NONE
     matches = [ENTRY.fullmatch(entry) for entry in entries]
     shared = [digest(m[1]) for m in matches[:-1] if m is not None]
+    last = matches[-1]
     return PromptParts(
         shared=tuple(dict.fromkeys(shared)),
+        own='' if last is None else digest(last[1]),
         invalid=sum(m is None for m in matches),
     )
 
--- a/tests/unit/test_prompt_parts.py
+++ b/tests/unit/test_prompt_parts.py
@@ -24,30 +24,37 @@
     return prompt_parts.parse(request, HEADER)
 
 
+def own(part_id: bytes) -> str:
+    """Return the digest of a last part, empty for none."""
+    return prompt_parts.digest(part_id) if part_id else ''
+
+
 def digests(*ids: bytes) -> tuple[str, ...]:
     """Return the digests of parts."""
     return tuple(prompt_parts.digest(part_id) for part_id in ids)
 
 
 @pytest.mark.parametrize(
-    ('values', 'shared'),
+    ('values', 'shared', 'last'),
     [
-        ((), ()),
-        ((b'',), ()),
-        ((b'5c1e:800',), ()),
-        ((b'5c1e:800,91bd:410',), (b'5c1e',)),
-        ((b'5c1e:800,91bd:410,e440:2',), (b'5c1e', b'91bd')),
-        ((b' 5C1E : 800 ,\t91BD:410, e440:2 ',), (b'5c1e', b'91bd')),
-        ((b'5c1e:800', b'91bd:410,e440:2'), (b'5c1e', b'91bd')),
-        ((b'5c1e:1,5c1e:2,91bd:3',), (b'5c1e',)),
-        ((b'5c1e,91bd',), (b'5c1e',)),
+        ((), (), b''),
+        ((b'',), (), b''),
+        ((b'5c1e:800',), (), b'5c1e'),
+        ((b'5c1e:800,91bd:410',), (b'5c1e',), b'91bd'),
+        ((b'5c1e:800,91bd:410,e440:2',), (b'5c1e', b'91bd'), b'e440'),
+        ((b' 5C1E : 8 ,\t91BD:4, E440:2 ',), (b'5c1e', b'91bd'), b'e440'),
+        ((b'5c1e:800', b'91bd:410,e440:2'), (b'5c1e', b'91bd'), b'e440'),
+        ((b'5c1e:1,5c1e:2,91bd:3',), (b'5c1e',), b'91bd'),
+        ((b'5c1e,91bd',), (b'5c1e',), b'91bd'),
     ],
 )
 def test_all_parts_but_the_last_are_shared(
-    values: tuple[bytes, ...], shared: tuple[bytes, ...]
+    values: tuple[bytes, ...], shared: tuple[bytes, ...], last: bytes
 ) -> None:
     """Case, spaces, token counts and repeated headers make no difference."""
-    assert parse(*values) == prompt_parts.PromptParts(shared=digests(*shared))
+    assert parse(*values) == prompt_parts.PromptParts(
+        shared=digests(*shared), own=own(last)
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -149,6 +149,15 @@
     assert gateways.held(other) == [False] * 3
 
 
+def test_requests_without_a_body_are_told_apart_by_their_prompts() -> None:
+    """They have the path in common with many sound ones."""
+    names = {request_with('a').whole, request_with('b').whole}
+    assert len(names) == 2
+    body = b'the same'
+    one = request_with('a', body=body)
+    assert one.whole == request_with('b', body=body).whole
+
+
 def test_a_lost_request_is_tried_again_if_its_parts_were_answered() -> None:
     """The repeat of the cause would end a second endpoint."""
     one = quarantine.Quarantine(host='g-0')
