Let operators list and release quarantines

aspenfold-plan quarantine lists what is kept from endpoints, since when, after how many crashes and when such a request last came; aspenfold-plan release ends one at all gateways, through the store. Status shows no records of it among the gateways. The test lists, releases and sees such requests served.

--- a/src/aspenfold/_internal/commands/plans.py
+++ b/src/aspenfold/_internal/commands/plans.py
@@ -18,6 +18,7 @@
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index
 from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import quarantine_records
 
 Plan = plan_module.Plan
 
@@ -305,7 +306,11 @@
             for record in listings.records
             if record.value
         ],
-        'gateways': [_text_row('gateway', r) for r in gateways.records],
+        'gateways': [
+            _text_row('gateway', record)
+            for record in gateways.records
+            if not record.key.startswith(quarantine_records.KEY_PREFIX)
+        ],
         'leases': [_text_row('lease', r) for r in leases.records],
     }
 
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -181,7 +181,9 @@
         if self._evidence.crashes or self._holds:
             answered.append(request.whole)
         for fingerprint in answered:
-            self._record_answer(fingerprint, now, source=self._host)
+            self._record_answer(
+                fingerprint, now, reason=f'answered at {self._host}'
+            )
 
     def record_survival(self, request: RequestFingerprints) -> None:
         """Record that an endpoint outlived an answer that it had begun."""
@@ -189,19 +191,19 @@
             self._evidence.record_survival(fingerprint)
 
     def _record_answer(
-        self, fingerprint: Fingerprint, at: datetime.datetime, *, source: str
+        self, fingerprint: Fingerprint, at: datetime.datetime, *, reason: str
     ) -> None:
         self._evidence.record_answer(fingerprint, at)
         hold = self._holds.get(fingerprint)
         if hold is not None and at > hold.begun_at:
-            self._end(hold, f'answered at {source}')
+            self._end(hold, reason)
             self._cleared[fingerprint] = at
             if len(self._cleared) > MAX_QUARANTINED:
                 del self._cleared[next(iter(self._cleared))]
 
     def release(self, fingerprint: Fingerprint, at: datetime.datetime) -> None:
         """End a quarantine that an operator released ``at`` this time."""
-        self._record_answer(fingerprint, at, source='an operator')
+        self._record_answer(fingerprint, at, reason='released')
 
     def update(self, now: datetime.datetime) -> None:
         """Put causes into quarantine, and end what no request came for."""
@@ -301,7 +303,9 @@
     ) -> None:
         """Apply what a peer tells."""
         for fingerprint, age in report.answer_ages.items():
-            self._record_answer(fingerprint, now - age, source=peer)
+            self._record_answer(
+                fingerprint, now - age, reason=f'answered, as {peer} tells'
+            )
         oldest = now - crash_evidence.CRASH_MEMORY
         for crash in report.crashes:
             at = now - crash.age
--- a/src/aspenfold/cli/plan.py
+++ b/src/aspenfold/cli/plan.py
@@ -8,9 +8,12 @@
 
 from aspenfold._internal.commands import exit_status
 from aspenfold._internal.commands import plans
+from aspenfold._internal.commands import quarantines
 from aspenfold._internal import exceptions
+from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.gateway import settings
+from aspenfold._internal.kernel import clock
 from aspenfold.platform import config
 from aspenfold.platform import factory
 from aspenfold.platform import settings as platform_settings
@@ -19,12 +22,12 @@
 
 
 class PlanCommands:
-    """Check plans, and show what the platform's store has.
+    """Check plans, show what the platform's store has, end quarantines.
 
     The address of the store is --store IP:PORT, or comes from a gateway's
     settings file, named by the environment variable ASPENFOLD_SETTINGS.
 
-    Exit statuses: 0 success, 1 no matching route, 2 invalid input, 5 the
+    Exit statuses: 0 success, 1 no such route or quarantine, 2 invalid input, 5 the
     store is unavailable.
     """
 
@@ -72,6 +75,31 @@
             )
         )
 
+    def quarantine(self, json: bool = False) -> None:
+        """Show which requests are kept from all endpoints, and why."""
+        exit_status.run_and_exit(
+            lambda: quarantines.QuarantineCommand().run(
+                self._query(quarantines.read_holds), as_json=json
+            )
+        )
+
+    def release(self, fingerprint: str, json: bool = False) -> None:
+        """End a quarantine: such requests are sent to endpoints again.
+
+        All gateways learn it through the store.  If endpoints end again the
+        quarantine returns.
+        """
+        name = fingerprints.Fingerprint(str(fingerprint))
+        now = clock.SystemClock().now()
+
+        def run() -> exit_status.ExitStatus:
+            before = self._query(
+                lambda platform: quarantines.write_release(platform, name, now)
+            )
+            return quarantines.ReleaseCommand().run(name, before, as_json=json)
+
+        exit_status.run_and_exit(run)
+
     def _query(
         self,
         query: abc.Callable[[ports.Platform], abc.Awaitable[Result]],
--- a/tests/functional/test_gateway_crashes.py
+++ b/tests/functional/test_gateway_crashes.py
@@ -5,14 +5,17 @@
 import dataclasses
 import functools
 import itertools
+import json
 import time
 
 from aspenfold_standins import platform_worker as workers
 import pytest
 
+from aspenfold._internal.commands import exit_status
 from aspenfold._internal.gateway import peers
 from tests.lib import gateway_rig as rigs
 from tests.lib import gateway_set
+from tests.lib import plan_program
 
 GATEWAYS = 3
 ENDPOINTS = 12
@@ -285,6 +288,9 @@
         lambda: all(p.endpoints == 6 for p in gateways.processes)
     )
     for number in range(1, 4):
+        sound = parts_header(COMMON_PART, f'{number}')
+        response = await gateways.request(number, '/stream/', **sound)
+        assert response.complete
         header = parts_header(COMMON_PART, BAD_PART, f'{number}')
         await gateways.request(number, '/stream/', **header)
         await asyncio.sleep(0.6)
@@ -336,3 +342,38 @@
             assert sum(len(w.crashes) for w in seen) == 3
 
     asyncio.run(run())
+
+
+def test_an_operator_lists_and_releases_a_quarantine() -> None:
+    """Once the endpoints are mended, such requests are served again."""
+    crash = workers.CrashOn(part=BAD_PART, otherwise=workers.stream_events)
+
+    async def run() -> None:
+        async with gateway_set.running_gateways(GATEWAYS) as gateways:
+            port = gateways.rig.store.port
+            seen = await crash_three(gateways, crash)
+            rows: list[dict[str, object]] = []
+            async with asyncio.timeout(STABLE_WINDOW_S):
+                while not rows:
+                    status, out, _ = await plan_program.run(
+                        port, 'quarantine', '--json'
+                    )
+                    assert status == exit_status.ExitStatus.OK
+                    rows = json.loads(out)
+            (row,) = rows
+            assert row['crashes'] == 3
+            assert row['kind'] == 'part'
+            for worker in seen:
+                worker.script = workers.stream_events
+            name = str(row['fingerprint'])
+            status, _, _ = await plan_program.run(port, 'release', name)
+            assert status == exit_status.ExitStatus.OK
+            for number in range(1, GATEWAYS + 1):
+                async with asyncio.timeout(STABLE_WINDOW_S):
+                    while await is_refused(gateways, number):
+                        await asyncio.sleep(0.1)
+            status, _, error = await plan_program.run(port, 'release', name)
+            assert status == exit_status.ExitStatus.FAILED
+            assert 'is not in quarantine' in error
+
+    asyncio.run(run())
--- a/tests/functional/test_plan_program.py
+++ b/tests/functional/test_plan_program.py
@@ -2,33 +2,12 @@
 
 import asyncio
 import json
-import os
-import sys
 
 from aspenfold._internal.commands import exit_status
 from aspenfold.platform import config
 from aspenfold.platform import endpoint_records
 from tests.lib import gateway_rig as rigs
-
-PROGRAM = (
-    sys.executable,
-    '-c',
-    'from aspenfold.cli import plan; plan.main()',
-)
-
-
-async def run(port: int, *arguments: str) -> tuple[int, str, str]:
-    """Run the program; return its exit status, stdout and stderr."""
-    process = await asyncio.create_subprocess_exec(
-        *PROGRAM,
-        *arguments,
-        f'--store=127.0.0.1:{port}',
-        env=dict(os.environ),
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.PIPE,
-    )
-    out, err = await process.communicate()
-    return process.returncode or 0, out.decode(), err.decode()
+from tests.lib import plan_program
 
 
 def test_commands_read_plans_from_the_store() -> None:
@@ -50,26 +29,28 @@
             'w-1',
             worker.store_record('plain', 'draining'),
         )
-        status, out, _ = await run(port, 'status', '--json')
+        status, out, _ = await plan_program.run(port, 'status', '--json')
         assert status == exit_status.ExitStatus.OK
         parts = json.loads(out)
         assert parts['plan'][0]['version'] == 5
         assert parts['endpoints'][0]['state'] == 'leaving'
-        status, out, _ = await run(port, 'audit', '--json')
+        status, out, _ = await plan_program.run(port, 'audit', '--json')
         rows = [(r['version'], r['change']) for r in json.loads(out)]
         assert rows == [
             (3, 'the oldest plan that the store has'),
             (5, f'route {rigs.HOST}/new/ added'),
         ]
-        status, out, _ = await run(port, 'explain', rigs.HOST, '/new/x')
+        status, out, _ = await plan_program.run(
+            port, 'explain', rigs.HOST, '/new/x'
+        )
         assert status == exit_status.ExitStatus.OK
         assert '/new/' in out
         rig.store.compact(config.TOPIC)
-        status, out, _ = await run(port, 'audit', '--json')
+        status, out, _ = await plan_program.run(port, 'audit', '--json')
         assert [r['version'] for r in json.loads(out)] == [5]
         await worker.stop()
         await rig.store.stop()
-        status, _, err = await run(port, 'status')
+        status, _, err = await plan_program.run(port, 'status')
         assert status == exit_status.ExitStatus.UNREACHABLE
         assert 'store is unavailable' in err
 
