--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -12,7 +12,9 @@
 * An endpoint that outlives an answer which it has begun, but which broke off,
   speaks against the suspects of that request.
 * What endpoints answered shortly before the crashes is more likely beside the
-  cause than the cause itself, and needs more crashes.
+  cause than the cause itself, and needs more crashes.  So does what was in
+  less than half of the crashes of its time: many endpoints end for other
+  reasons then.
 * Of the fingerprints that could explain the crashes the fewest are chosen.
   One that is chosen explains its crashes for all others.
 
@@ -33,8 +35,12 @@
 MIN_CRASHES = 3
 """Crashes, apart in time, after which a fingerprint is a cause."""
 
-MIN_CRASHES_ANSWERED = 5
-"""The same for one that was answered shortly before the first crash."""
+MIN_CRASHES_UNLIKELY = 5
+"""The same for one that was answered shortly before the first crash, or is
+in few of the crashes."""
+
+MIN_SHARE = 0.5
+"""Part of the crashes since its first one that a likely cause is in."""
 
 ANSWER_MEMORY = datetime.timedelta(minutes=1)
 """How long before a crash an answer makes a fingerprint unlikely."""
@@ -237,7 +243,7 @@
         ranks = {
             suspect: self._rank(suspect, ats)
             for suspect, ats in times.items()
-            if self._is_cause(suspect, ats)
+            if self._is_cause(suspect, ats, crashes)
         }
         if not ranks:
             return []
@@ -252,14 +258,21 @@
         return answered_at is None or answered_at <= crash.at
 
     def _is_cause(
-        self, suspect: Fingerprint, times: abc.Sequence[datetime.datetime]
+        self,
+        suspect: Fingerprint,
+        times: abc.Sequence[datetime.datetime],
+        crashes: abc.Sequence[Crash],
     ) -> bool:
         if len(times) <= self._survivals[suspect]:
             return False
-        needed = MIN_CRASHES
-        if self.was_answered(suspect, times[0]):
-            needed = MIN_CRASHES_ANSWERED
-        return count_episodes(times) >= needed
+        episodes = count_episodes(times)
+        if episodes < MIN_CRASHES:
+            return False
+        since = sum(crash.at >= times[0] for crash in crashes)
+        is_likely = len(times) >= MIN_SHARE * since
+        if is_likely and not self.was_answered(suspect, times[0]):
+            return True
+        return episodes >= MIN_CRASHES_UNLIKELY
 
     def _rank(
         self, suspect: Fingerprint, times: abc.Sequence[datetime.datetime]
--- a/src/aspenfold/cli/plan.py
+++ b/src/aspenfold/cli/plan.py
@@ -27,8 +27,8 @@
     The address of the store is --store IP:PORT, or comes from a gateway's
     settings file, named by the environment variable ASPENFOLD_SETTINGS.
 
-    Exit statuses: 0 success, 1 no such route or quarantine, 2 invalid input, 5 the
-    store is unavailable.
+    Exit statuses: 0 success, 1 no such route or quarantine, 2 invalid input,
+    5 the store is unavailable.
     """
 
     def __init__(self, store: str = '') -> None:
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -109,6 +109,16 @@
     assert causes(crashes_of(whole(1), BAD, count=3)) == [whole(1)]
 
 
+def test_few_of_many_crashes_need_to_be_more() -> None:
+    """Endpoints end for other reasons, and a rare part is among them."""
+    evidence = crashes_of(OTHER, count=4)
+    for number in range(6):
+        evidence.record_crash(f'v-{number}', [whole(number)], at(3 * number))
+    assert causes(evidence) == []
+    evidence.record_crash('w-9', [OTHER], at(25))
+    assert causes(evidence) == [OTHER]
+
+
 def test_two_causes_are_both_found() -> None:
     """Each explains its own crashes."""
     evidence = crashes_of(BAD, COMMON, count=3)
