Hold what is in all crashes after two of them

Each crash of a rank takes its whole group for some 5 s, so that the third one that was waited for is dear. What is in all crashes since its first one, was not answered in the minute before and was outlived by no endpoint is held after two, apart in time.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -32,15 +32,17 @@
 
 Fingerprint = fingerprints.Fingerprint
 
+MIN_CRASHES_CERTAIN = 2
+"""Crashes, apart in time, after which a fingerprint is a cause if it is in all
+crashes since its first one, and no endpoint outlived it."""
+
 MIN_CRASHES = 3
-"""Crashes, apart in time, after which a fingerprint is a cause."""
+"""The same if it is in MIN_SHARE of them."""
 
 MIN_CRASHES_UNLIKELY = 5
-"""The same for one that was answered shortly before the first crash, or is
-in few of the crashes."""
+"""The same if it is in fewer, or was answered shortly before the first."""
 
 MIN_SHARE = 0.5
-"""Part of the crashes since its first one that a likely cause is in."""
 
 ANSWER_MEMORY = datetime.timedelta(minutes=1)
 """How long before a crash an answer makes a fingerprint unlikely."""
@@ -221,7 +223,7 @@
             if not any(k in crash.suspects for k in known)
         ]
         found: list[Fingerprint] = []
-        while len(unexplained) >= MIN_CRASHES:
+        while len(unexplained) >= MIN_CRASHES_CERTAIN:
             chosen = self._best_causes(unexplained)
             if not chosen:
                 break
@@ -263,16 +265,17 @@
         times: abc.Sequence[datetime.datetime],
         crashes: abc.Sequence[Crash],
     ) -> bool:
-        if len(times) <= self._survivals[suspect]:
-            return False
-        episodes = count_episodes(times)
-        if episodes < MIN_CRASHES:
+        survivals = self._survivals[suspect]
+        if len(times) <= survivals:
             return False
         since = sum(crash.at >= times[0] for crash in crashes)
+        needed = MIN_CRASHES
+        if len(times) == since and not survivals:
+            needed = MIN_CRASHES_CERTAIN
         is_likely = len(times) >= MIN_SHARE * since
-        if is_likely and not self.was_answered(suspect, times[0]):
-            return True
-        return episodes >= MIN_CRASHES_UNLIKELY
+        if not is_likely or self.was_answered(suspect, times[0]):
+            needed = MIN_CRASHES_UNLIKELY
+        return count_episodes(times) >= needed
 
     def _rank(
         self, suspect: Fingerprint, times: abc.Sequence[datetime.datetime]
