Try a request of a quarantine twice, by one of all gateways

A false quarantine would last as long as such requests come, and one of a mended endpoint until an operator ends it. After 10 and 70 minutes one gateway, by rendezvous hashing, sends one such request; an answer ends the quarantine everywhere, a crash changes nothing. There are two trials at most, counted over all gateways and in the store: each may cost an endpoint, and three requests are all that may ever reach one.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -86,7 +86,7 @@
             written = lost_at - first_output_at
         request = self._call.fingerprints
         quarantine = self._core.quarantine
-        if quarantine.find(request, lost_at):
+        if quarantine.is_held(request):
             # Withdrawn, or one of those that are known to end endpoints.
             return outcome.AttemptResult.ENDED
         if await endpoint_probe.is_listening(self._endpoint.listing):
@@ -133,7 +133,7 @@
             now = self._core.clock.now()
             if self._endpoint.is_withdrawn(now):
                 return outcome.AttemptResult.WITHDRAWN
-            if self._core.quarantine.find(self._call.fingerprints, now):
+            if self._core.quarantine.is_held(self._call.fingerprints):
                 return outcome.AttemptResult.QUARANTINED
             return await self._send_request(connection)
         finally:
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -83,6 +83,7 @@
     def set_peers(self, zones: abc.Mapping[str, str]) -> None:
         """Set the zones of the other gateways that are alive, by host."""
         self.rate_limits.set_gateways(zones, self.clock.now())
+        self.quarantine.set_peers(zones.keys())
         self._gateway_count = len(zones) + 1
         for budget in self._budgets.values():
             budget.gateways = self._gateway_count
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -113,7 +113,7 @@
         self._call.service = self._core.choose_service(route)
         time_left = min(route.timeout, self._time_left)
         self._call.deadline = request.received_at + time_left
-        hold = self._core.quarantine.find(
+        hold = self._core.quarantine.admit(
             self._call.fingerprints, self._core.clock.now()
         )
         if hold is not None:
--- a/src/aspenfold/_internal/gateway/fingerprints.py
+++ b/src/aspenfold/_internal/gateway/fingerprints.py
@@ -34,7 +34,10 @@
 
 
 class RequestFingerprints:
-    """The fingerprints of one request; ``parts`` are those of its prompt."""
+    """The fingerprints of one request; ``parts`` are those of its prompt.
+
+    It is sent in spite of the quarantine of ``trials``.
+    """
 
     def __init__(
         self,
@@ -46,6 +49,7 @@
         self._request = request
         self._organisation = organisation
         self._prompt = parts
+        self.trials: frozenset[Fingerprint] = frozenset()
         self.parts = tuple(of_part(part) for part in parts.shared)
 
     @functools.cached_property
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -18,6 +18,7 @@
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.observability import events
+from aspenfold._internal.routing import subset
 
 Fingerprint = fingerprints.Fingerprint
 RequestFingerprints = fingerprints.RequestFingerprints
@@ -29,6 +30,14 @@
 IDLE_DURATION = datetime.timedelta(hours=1)
 """A quarantine ends if no such request came for this long."""
 
+TRIAL_AGES = (
+    datetime.timedelta(minutes=10),
+    datetime.timedelta(minutes=70),
+)
+"""Ages of a quarantine from which on one request is sent as a trial, by one of
+all gateways.  An answer ends the quarantine.  Each trial may cost an endpoint,
+so that there are no more."""
+
 MAX_QUARANTINED = 32
 """Fingerprints in quarantine, the latest ones."""
 
@@ -49,7 +58,8 @@
     """A fingerprint in quarantine.
 
     ``crashes`` is how many endpoints had ended under such requests, and
-    ``source`` the gateway from which it is known.
+    ``source`` the gateway from which it is known.  ``trials`` counts the
+    requests that were sent since, by any gateway.
     """
 
     fingerprint: Fingerprint
@@ -57,6 +67,13 @@
     seen_at: datetime.datetime
     crashes: int
     source: str
+    trials: int = 0
+
+    def is_trial_due(self, now: datetime.datetime) -> bool:
+        """Return whether a request may be sent as a trial."""
+        if self.trials >= len(TRIAL_AGES):
+            return False
+        return now - self.begun_at >= TRIAL_AGES[self.trials]
 
     def ends_at(self) -> datetime.datetime:
         """Return when it ends if no such request comes until then."""
@@ -78,6 +95,7 @@
         self._holds: dict[Fingerprint, Hold] = {}
         self._verdicts: dict[Fingerprint, datetime.datetime] = {}
         self._judged = 0
+        self._peers: abc.Collection[str] = ()
         self._own_incarnations: collections.deque[str] = collections.deque(
             maxlen=MAX_OWN_CRASHES
         )
@@ -94,21 +112,55 @@
         """Return all that is in quarantine, the latest last."""
         return list(self._holds.values())
 
-    def find(
+    def set_peers(self, hosts: abc.Collection[str]) -> None:
+        """Set the other gateways that are alive."""
+        self._peers = hosts
+
+    def admit(
         self, request: RequestFingerprints, now: datetime.datetime
     ) -> Hold | None:
-        """Return the hold of a request that came, None if there is none."""
+        """Return the hold of a request that came, None if it may be sent.
+
+        It may be a trial.
+        """
+        holds = self._find_all(request)
+        for hold in holds:
+            hold.seen_at = now
+        for hold in holds:
+            if not hold.is_trial_due(now) or not self._makes_trials(hold):
+                return hold
+        for hold in holds:
+            hold.trials += 1
+            events.emit(
+                events.Event.QUARANTINE_TRIAL,
+                fingerprint=hold.fingerprint,
+                trials=hold.trials,
+            )
+        request.trials = frozenset(hold.fingerprint for hold in holds)
+        return None
+
+    def is_held(self, request: RequestFingerprints) -> bool:
+        """Return whether a request must not be sent, or not again."""
+        return bool(self._find_all(request))
+
+    def _find_all(self, request: RequestFingerprints) -> list[Hold]:
+        """Return the holds of a request, but those that it is a trial of."""
         if not self._holds:
-            return None
+            return []
         candidates = request.parts
         if any(fingerprints.is_request(held) for held in self._holds):
             candidates = request.all()
-        for fingerprint in candidates:
-            hold = self._holds.get(fingerprint)
-            if hold is not None:
-                hold.seen_at = now
-                return hold
-        return None
+        return [
+            self._holds[candidate]
+            for candidate in candidates
+            if candidate in self._holds and candidate not in request.trials
+        ]
+
+    def _makes_trials(self, hold: Hold) -> bool:
+        """Return whether this gateway is the one that makes the trials."""
+        return subset.select(
+            hold.fingerprint, {self._host, *self._peers}, 1
+        ) == [self._host]
 
     @contextlib.contextmanager
     def waiting(
@@ -131,7 +183,7 @@
 
         Its parts were answered lately, so that it is not likely the cause.
         """
-        if self.find(request, now) is not None:
+        if self.is_held(request):
             return False
         if not all(self._evidence.was_answered(p, now) for p in request.parts):
             return False
@@ -268,6 +320,7 @@
                     age=now - hold.begun_at,
                     seen_age=now - hold.seen_at,
                     crashes=hold.crashes,
+                    trials=hold.trials,
                 )
                 for hold in self._holds.values()
             },
@@ -330,6 +383,7 @@
         if known is not None:
             known.begun_at = min(known.begun_at, begun_at)
             known.seen_at = max(known.seen_at, seen_at)
+            known.trials = max(known.trials, told.trials)
             return
         answered_at = self._evidence.answered_at(fingerprint)
         if answered_at is not None and answered_at > begun_at:
@@ -340,6 +394,7 @@
             seen_at=seen_at,
             crashes=told.crashes,
             source=peer,
+            trials=told.trials,
         )
         if hold.ends_at() > now:
             self._begin(hold)
--- a/src/aspenfold/_internal/gateway/quarantine_records.py
+++ b/src/aspenfold/_internal/gateway/quarantine_records.py
@@ -54,6 +54,7 @@
     begun_ms: int = 0
     seen_ms: int = 0
     crashes: int = 0
+    trials: int = 0
     released_ms: int | None = None
 
 
@@ -129,6 +130,7 @@
             age=self._age(record.begun_ms),
             seen_age=self._age(record.seen_ms),
             crashes=record.crashes,
+            trials=record.trials,
         )
         report = quarantine_report.Report(holds={fingerprint: hold})
         self._quarantine.receive('the store', report, now)
@@ -182,17 +184,26 @@
                 continue
             seen_ms = self._unix_ms(hold.seen_at)
             stored = self._stored_hold(key)
-            if stored is not None and stored.released_ms is None:
-                unseen = (seen_ms - stored.seen_ms) * clock_module.MILLISECOND
-                if unseen < REFRESH_INTERVAL + self._turn(hold.fingerprint):
-                    continue
+            if stored is not None and not self._is_outdated(
+                stored, hold, seen_ms
+            ):
+                continue
             record = HoldRecord(
                 begun_ms=self._unix_ms(hold.begun_at),
                 seen_ms=seen_ms,
                 crashes=hold.crashes,
+                trials=hold.trials,
             )
             yield key, record.model_dump_json(exclude_none=True).encode()
 
+    def _is_outdated(
+        self, stored: HoldRecord, hold: quarantine_module.Hold, seen_ms: int
+    ) -> bool:
+        if stored.released_ms is not None or stored.trials < hold.trials:
+            return True
+        unseen = (seen_ms - stored.seen_ms) * clock_module.MILLISECOND
+        return unseen >= REFRESH_INTERVAL + self._turn(hold.fingerprint)
+
     def _turn(self, fingerprint: Fingerprint) -> datetime.timedelta:
         """Return when it is this gateway's turn to write of a fingerprint."""
         mine = subset.score(fingerprint, self._host)
--- a/src/aspenfold/_internal/gateway/quarantine_report.py
+++ b/src/aspenfold/_internal/gateway/quarantine_report.py
@@ -29,12 +29,14 @@
     """A quarantine that a gateway knows of.
 
     ``seen_age`` is how long ago a request came that it kept back; ``crashes``
-    is how many endpoints had ended.
+    is how many endpoints had ended, ``trials`` how many requests were sent
+    since.
     """
 
     age: datetime.timedelta
     seen_age: datetime.timedelta
     crashes: int
+    trials: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -58,7 +60,7 @@
         return (
             [(c.incarnation, c.suspects) for c in self.crashes],
             sorted(self.answer_ages),
-            sorted(self.holds),
+            sorted((k, v.trials) for k, v in self.holds.items()),
         )
 
     def shortened(self) -> 'Report | None':
@@ -87,7 +89,12 @@
         ],
         {k: ages.encode(v) for k, v in report.answer_ages.items()},
         {
-            k: [ages.encode(v.age), ages.encode(v.seen_age), v.crashes]
+            k: [
+                ages.encode(v.age),
+                ages.encode(v.seen_age),
+                v.crashes,
+                v.trials,
+            ]
             for k, v in report.holds.items()
         },
     ]
@@ -122,12 +129,13 @@
 
 
 def _decode_hold(
-    age_ms: int, seen_age_ms: int, crashes: int, *_: object
+    age_ms: int, seen_age_ms: int, crashes: int, trials: int, *_: object
 ) -> HoldReport:
     return HoldReport(
         age=ages.decode(age_ms),
         seen_age=ages.decode(seen_age_ms),
         crashes=max(0, int(crashes)),
+        trials=max(0, int(trials)),
     )
 
 
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -58,6 +58,7 @@
     QUARANTINE_BEGUN = 514
     QUARANTINE_ENDED = 515
     QUARANTINE_NOT_STORED = 516
+    QUARANTINE_TRIAL = 517
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -129,6 +130,8 @@
     Event.QUARANTINE_ENDED: 'requests with a fingerprint are sent again',
     Event.QUARANTINE_NOT_STORED: 'a quarantine could not be written to the '
     'store; it is tried again',
+    Event.QUARANTINE_TRIAL: 'one request is sent to see whether a quarantine '
+    'is still needed',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/tests/lib/simulated_crashes.py
+++ b/tests/lib/simulated_crashes.py
@@ -139,7 +139,7 @@
             request = self._request(is_bad=is_bad)
             number = self._rng.randrange(self._load.gateways)
             self.sound_count += not is_bad
-            if self._gateways[number].find(request, self.now):
+            if self._gateways[number].admit(request, self.now):
                 self.sound_refused += not is_bad
                 continue
             up = [e for e in self._endpoints if e.up_at <= self.now]
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -217,7 +217,9 @@
             s for s in crashed[cause] if s > answers.get(cause, -1.0) - 1.0
         ]
         assert len(open_crashes) >= crash_evidence.MIN_CRASHES_CERTAIN
-        assert evidence.count_crashes(cause) >= crash_evidence.MIN_CRASHES_CERTAIN
+        assert (
+            evidence.count_crashes(cause) >= crash_evidence.MIN_CRASHES_CERTAIN
+        )
 
 
 @pytest.mark.parametrize('count', [1_000])
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -69,7 +69,7 @@
 
     def held(self, request: fingerprints.RequestFingerprints) -> list[bool]:
         """Return whether each gateway keeps a request back."""
-        return [one.find(request, self.now) is not None for one in self.all]
+        return [one.is_held(request) for one in self.all]
 
 
 def test_crashes_at_three_gateways_make_one_verdict_at_all() -> None:
@@ -115,13 +115,62 @@
         gateways.wait()
     for _ in range(5):
         gateways.wait(1800)
-        assert gateways.all[1].find(request_with('bad'), gateways.now)
+        gateways.all[1].admit(request_with('bad'), gateways.now)
+        assert gateways.held(request_with('bad')) == [True, True]
     assert gateways.all[0].count() == 1
     gateways.wait(3601)
     gateways.wait()
     assert [one.count() for one in gateways.all] == [0, 0]
 
 
+def hold_bad(count: int) -> Gateways:
+    """Return gateways that hold a part."""
+    gateways = Gateways(count)
+    for number in range(3):
+        gateways.crash(0, request_with('bad', body=b'%d' % number))
+        gateways.wait()
+    for one in gateways.all:
+        one.set_peers([f'g-{number}' for number in range(count)])
+    assert gateways.held(request_with('bad')) == [True] * count
+    return gateways
+
+
+def sent(gateways: Gateways) -> int:
+    """Return how many gateways send a request with the held part."""
+    requests = [request_with('bad') for _ in gateways.all]
+    return sum(
+        one.admit(request, gateways.now) is None
+        for one, request in zip(gateways.all, requests, strict=True)
+    )
+
+
+def test_all_gateways_together_make_two_trials_of_a_quarantine() -> None:
+    """Each may cost an endpoint."""
+    gateways = hold_bad(5)
+    trials = 0
+    for _ in range(48):
+        gateways.wait(300)
+        trials += sent(gateways)
+        trials += sent(gateways)
+        gateways.wait()
+        assert trials <= 2
+    assert trials == 2
+
+
+def test_a_trial_that_is_answered_ends_the_quarantine() -> None:
+    """The endpoints were mended."""
+    gateways = hold_bad(3)
+    gateways.wait(601)
+    requests = [request_with('bad') for _ in gateways.all]
+    for one, request in zip(gateways.all, requests, strict=True):
+        if one.admit(request, gateways.now) is None:
+            assert not one.is_held(request)
+            assert not one.may_retry(request, gateways.now)
+            one.record_answer(request, gateways.now)
+    gateways.wait()
+    assert gateways.held(request_with('bad')) == [False] * 3
+
+
 def test_an_answer_ends_a_quarantine_everywhere() -> None:
     """A request that was sent before it was answered after all."""
     gateways = Gateways(3)
