Take endpoints that end silently as evidence, and trace a held request

A host that fails leaves connections open, so that attempts end by their deadline or as the caller leaves. After a second without output the gateway asks in the background whether the endpoint still listens; its end counts from its last sign of life, so that hosts that fail together stay one episode. What turns lost attempts into evidence stands in a module of its own.

aspenfold trace shows, for a request that was kept back, the crashes and the quarantine that led to it.

--- a/src/aspenfold/_internal/commands/trace.py
+++ b/src/aspenfold/_internal/commands/trace.py
@@ -71,11 +71,29 @@
 def request_lines(
     lines: abc.Iterable[LogLine], request_id: str
 ) -> list[LogLine]:
-    """Return the lines of one request, sorted by timestamp."""
+    """Return the lines of one request, sorted by timestamp.
+
+    If it was kept from endpoints, the crashes that led to that are included.
+    """
+    lines = list(lines)
     matching = [x for x in lines if x.fields.get('call') == request_id]
+    held = {x.fields['fingerprint'] for x in matching if _is_kept(x)}
+    matching += [x for x in lines if x not in matching and _is_about(x, held)]
     return sorted(matching, key=lambda x: float(x.fields.get('timestamp', 0)))
 
 
+def _is_kept(line: LogLine) -> bool:
+    return 'fingerprint' in line.fields
+
+
+def _is_about(line: LogLine, held: set[str]) -> bool:
+    """Return whether a line is about crashes or quarantines of ``held``."""
+    suspects = line.fields.get('fingerprints', ())
+    return line.fields.get('fingerprint') in held or bool(
+        held.intersection(suspects)
+    )
+
+
 def count_dropped_lines(lines: abc.Iterable[LogLine]) -> dict[str, int]:
     """Return how many lines the processes dropped, by event name."""
     total: dict[str, int] = {}
--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -6,7 +6,6 @@
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
-from aspenfold._internal.gateway import endpoint_probe
 from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import outage
@@ -14,7 +13,6 @@
 from aspenfold._internal.gateway import response_end
 from aspenfold._internal.gateway import response_receiver
 from aspenfold._internal.gateway import statement_recorder
-from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import http1_client
 from aspenfold._internal.observability import events
 
@@ -23,11 +21,6 @@
 accepts; the longest round trip between zones is 3 ms."""
 
 
-CRASH_DELAY = datetime.timedelta(seconds=1)
-"""Time after its first output in which a request may crash an endpoint; one
-that is answered for longer is not the cause."""
-
-
 class Attempt:
     """Sends a request to one endpoint and receives the response."""
 
@@ -58,68 +51,27 @@
             plan=self._core.plan_version,
             parts=self._call.fingerprints.parts,
         )
-        self._call.response_end = None
-        self._call.first_output_at = None
+        self._call.begin_attempt()
         endpoint.in_flight += 1
         try:
             async with asyncio.timeout(self._call.remaining.total_seconds()):
                 result = await self._connect_and_send()
         except TimeoutError:
+            self._core.crash_watch.watch_silence(self._call, self._endpoint)
             result = outcome.AttemptResult.TIMED_OUT
+        except asyncio.CancelledError:
+            self._core.crash_watch.watch_silence(self._call, self._endpoint)
+            raise
         finally:
             endpoint.in_flight -= 1
         self._update_state(result)
+        crash_watch = self._core.crash_watch
         if result is outcome.AttemptResult.LOST:
-            return await self._explain_loss()
+            return await crash_watch.explain_loss(self._call, self._endpoint)
         if result is outcome.AttemptResult.ANSWERED:
-            self._core.quarantine.record_answer(
-                self._call.fingerprints, self._core.clock.now()
-            )
+            crash_watch.record_answer(self._call)
         return result
 
-    async def _explain_loss(self) -> outcome.AttemptResult:
-        """Find out whether the endpoint ended under the lost attempt."""
-        lost_at = self._core.clock.now()
-        first_output_at = self._call.first_output_at
-        written = None
-        if first_output_at is not None:
-            written = lost_at - first_output_at
-        request = self._call.fingerprints
-        quarantine = self._core.quarantine
-        if quarantine.is_held(request):
-            # Withdrawn, or one of those that are known to end endpoints.
-            return outcome.AttemptResult.ENDED
-        if await endpoint_probe.is_listening(self._endpoint.listing):
-            if written is not None and written >= CRASH_DELAY:
-                quarantine.record_answer(request, lost_at)
-            elif written is not None:
-                quarantine.record_survival(request)
-            return outcome.AttemptResult.LOST
-        self._log_end(written)
-        self._core.directory.record_unreachable(self._endpoint, lost_at)
-        if self._endpoint.leaving:
-            return outcome.AttemptResult.LOST
-        if written is None or written < CRASH_DELAY:
-            incarnation = self._endpoint.listing.incarnation
-            quarantine.record_crash(incarnation, request, lost_at)
-        if quarantine.may_retry(request, lost_at):
-            return outcome.AttemptResult.LOST
-        return outcome.AttemptResult.ENDED
-
-    def _log_end(self, written: datetime.timedelta | None) -> None:
-        """Log that the endpoint ended, ``written`` after its first output."""
-        self._core.metrics.increment(
-            'endpoint_ends', self._endpoint.listing.service
-        )
-        events.emit(
-            events.Event.ENDPOINT_ENDED,
-            call=self._call.id,
-            endpoint=self._endpoint.name,
-            leaving=self._endpoint.leaving,
-            output_ms=None if written is None else clock_module.to_ms(written),
-            fingerprints=self._call.fingerprints.all(),
-        )
-
     async def _connect_and_send(self) -> outcome.AttemptResult:
         listing = self._endpoint.listing
         try:
@@ -147,6 +99,7 @@
         headers = self._headers()
         may_have_run_before = history.may_have_run
         sent_at = self._core.clock.now()
+        self._call.sent_at = sent_at
         history.attempts_sent += 1
         history.may_have_run = True
         try:
--- a/src/aspenfold/_internal/gateway/call.py
+++ b/src/aspenfold/_internal/gateway/call.py
@@ -30,8 +30,9 @@
     streamed response and is kept through all attempts.
     ``buffered_response`` is the latest complete response that was not
     forwarded yet.  ``response_end`` is how the response of the latest attempt
-    ended, None if none began.  ``first_output_at`` is when that attempt's
-    response first had an event, or a part of another body.
+    ended, None if none began.  ``sent_at`` is when that attempt was sent, and
+    ``first_output_at`` and ``last_output_at`` when its response had an event,
+    or a part of another body.
     """
 
     clock: clock_module.Clock
@@ -46,7 +47,9 @@
     )
     buffered_response: BufferedResponse | None = None
     response_end: end_module.ResponseEnd | None = None
+    sent_at: datetime.datetime | None = None
     first_output_at: datetime.datetime | None = None
+    last_output_at: datetime.datetime | None = None
     parts: prompt_parts.PromptParts = prompt_parts.NONE
     _fingerprints: fingerprints_module.RequestFingerprints | None = None
 
@@ -71,10 +74,18 @@
         """The age in whole milliseconds, for logs."""
         return int(self.age.total_seconds() * 1000)
 
+    def begin_attempt(self) -> None:
+        """Forget how the last attempt went."""
+        self.response_end = None
+        self.sent_at = None
+        self.first_output_at = None
+        self.last_output_at = None
+
     def record_output(self) -> None:
-        """Note that the endpoint has begun to write its answer."""
+        """Note that the endpoint writes its answer."""
+        self.last_output_at = self.clock.now()
         if self.first_output_at is None:
-            self.first_output_at = self.clock.now()
+            self.first_output_at = self.last_output_at
 
     @property
     def remaining(self) -> datetime.timedelta:
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -5,6 +5,7 @@
 import random
 
 from aspenfold._internal.gateway import admission
+from aspenfold._internal.gateway import crash_watch
 from aspenfold._internal.gateway import directory as directory_module
 from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
@@ -77,6 +78,12 @@
         self._gateway_count = 1
         self.outages = outages.Outages(clock=clock)
         self.quarantine = quarantine.Quarantine(host=cfg.name)
+        self.crash_watch = crash_watch.CrashWatch(
+            endpoint_directory=self.directory,
+            quarantine=self.quarantine,
+            counters=self.metrics,
+            clock=clock,
+        )
         self._plain_routing = self._create_policy(PLAIN_ROUTING_POLICY)
         self._group_routing = self._create_policy(GROUP_ROUTING_POLICY)
 
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -0,0 +1,131 @@
+"""Finds out whether endpoints ended under the requests that they had."""
+
+import asyncio
+import datetime
+
+from aspenfold._internal.gateway import call as call_module
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_probe
+from aspenfold._internal.gateway import outcome
+from aspenfold._internal.gateway import quarantine as quarantine_module
+from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.observability import events
+from aspenfold._internal.observability import metrics
+
+CRASH_DELAY = datetime.timedelta(seconds=1)
+"""Time after its first output in which a request may crash an endpoint; one
+that is answered for longer is not the cause."""
+
+MIN_SILENCE = datetime.timedelta(seconds=1)
+"""Time without output after which an endpoint may have ended silently."""
+
+MAX_PROBES = 16
+"""Probes of silent endpoints at once."""
+
+
+class CrashWatch:
+    """Turns attempts that ended early into evidence for the quarantine."""
+
+    def __init__(
+        self,
+        *,
+        endpoint_directory: directory.Directory,
+        quarantine: quarantine_module.Quarantine,
+        counters: metrics.Metrics,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._directory = endpoint_directory
+        self._quarantine = quarantine
+        self._counters = counters
+        self._clock = clock
+        self._probes: set[asyncio.Task[None]] = set()
+
+    def record_answer(self, call: call_module.Call) -> None:
+        """Record that an endpoint has answered a request."""
+        self._quarantine.record_answer(call.fingerprints, self._clock.now())
+
+    async def explain_loss(
+        self, call: call_module.Call, endpoint: directory.Endpoint
+    ) -> outcome.AttemptResult:
+        """Return the result of an attempt whose connection was lost.
+
+        It is ENDED if the endpoint ended and the request may be the cause,
+        else LOST.
+        """
+        lost_at = self._clock.now()
+        request = call.fingerprints
+        if self._quarantine.is_held(request):
+            # Withdrawn, or one of those that are known to end endpoints.
+            return outcome.AttemptResult.ENDED
+        written = None
+        if call.first_output_at is not None:
+            written = lost_at - call.first_output_at
+        if await endpoint_probe.is_listening(endpoint.listing):
+            if written is not None and written >= CRASH_DELAY:
+                self._quarantine.record_answer(request, lost_at)
+            elif written is not None:
+                self._quarantine.record_survival(request)
+            return outcome.AttemptResult.LOST
+        self._record_end(call, endpoint, written, lost_at)
+        if endpoint.leaving or self._quarantine.may_retry(request, lost_at):
+            return outcome.AttemptResult.LOST
+        return outcome.AttemptResult.ENDED
+
+    def watch_silence(
+        self, call: call_module.Call, endpoint: directory.Endpoint
+    ) -> None:
+        """Look, in the background, whether a silent endpoint has ended.
+
+        The attempt ended by its deadline or since the caller left.
+        """
+        silent_since = call.last_output_at or call.sent_at
+        if silent_since is None or len(self._probes) >= MAX_PROBES:
+            return
+        if self._clock.now() - silent_since < MIN_SILENCE:
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._explain_silence(call, endpoint, silent_since)
+        )
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _explain_silence(
+        self,
+        call: call_module.Call,
+        endpoint: directory.Endpoint,
+        silent_since: datetime.datetime,
+    ) -> None:
+        written = None
+        if call.first_output_at is not None:
+            written = silent_since - call.first_output_at
+        if not await endpoint_probe.is_listening(endpoint.listing):
+            self._record_end(call, endpoint, written, silent_since)
+
+    def _record_end(
+        self,
+        call: call_module.Call,
+        endpoint: directory.Endpoint,
+        written: datetime.timedelta | None,
+        at: datetime.datetime,
+    ) -> None:
+        """Record the end of an endpoint ``at`` this time.
+
+        It had ``written`` the answer for that long, None for no output.
+        """
+        service = endpoint.listing.service
+        self._counters.increment('endpoint_ends', service)
+        events.emit(
+            events.Event.ENDPOINT_ENDED,
+            call=call.id,
+            endpoint=endpoint.name,
+            leaving=endpoint.leaving,
+            output_ms=None if written is None else clock_module.to_ms(written),
+            fingerprints=call.fingerprints.all(),
+        )
+        self._directory.record_unreachable(endpoint, self._clock.now())
+        if endpoint.leaving or (
+            written is not None and written >= CRASH_DELAY
+        ):
+            return
+        incarnation = endpoint.listing.incarnation
+        self._quarantine.record_crash(incarnation, call.fingerprints, at)
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -250,7 +250,9 @@
         if result is outcome.AttemptResult.GROUP_UNAVAILABLE:
             self._refuse(Code.GROUP_DOWN, detail)
         elif result is outcome.AttemptResult.QUARANTINED:
-            self._refuse(Code.QUARANTINED, detail)
+            self._refuse_quarantined(
+                self._core.quarantine.find(self._call.fingerprints)
+            )
         elif self._core.next_permission(self._call.service) == GRANTED:
             self._refuse(Code.OVERLOADED, detail)
         else:
@@ -313,12 +315,17 @@
         delay = permission.until - self._core.clock.now()
         self._refuse(code, f'every endpoint of {service} {reason}', delay)
 
-    def _refuse_quarantined(self, hold: quarantine.Hold) -> None:
+    def _refuse_quarantined(self, hold: quarantine.Hold | None) -> None:
+        if hold is None:
+            # It has ended since.
+            self._refuse(Code.OVERLOADED, 'the quarantine has just ended')
+            return
         self._refuse(
             Code.QUARANTINED,
             f'{hold.crashes} endpoints ended under requests with '
             f'{hold.fingerprint}',
             hold.ends_at() - self._core.clock.now(),
+            fingerprint=hold.fingerprint,
         )
 
     def _refuse(
@@ -326,8 +333,9 @@
         code: Code,
         detail: str,
         delay: datetime.timedelta | None = None,
+        **fields: object,
     ) -> None:
-        """Respond that the request has not run.
+        """Respond that the request has not run; log ``fields``, too.
 
         ``delay`` is when a retry can succeed, if that is known better than
         by the code.
@@ -336,7 +344,9 @@
         if delay is None:
             delay = refusal.RETRY_AFTER.get(code)
         self._send_error(
-            failure, refusal.retry_after(delay, self._call.remaining)
+            failure,
+            refusal.retry_after(delay, self._call.remaining),
+            **fields,
         )
 
     def _send_unknown_outcome(self, result: outcome.AttemptResult) -> None:
@@ -352,6 +362,7 @@
         self,
         failure: exceptions.Failure,
         delay: datetime.timedelta | None,
+        **fields: object,
     ) -> None:
         body = f'[{int(failure.code)}] {failure.detail}\n'.encode()
         headers = [
@@ -371,6 +382,7 @@
             code=int(failure.code),
             status=status,
             detail=failure.detail,
+            **fields,
         )
 
     def _abort_stream(self, result: outcome.AttemptResult) -> None:
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -139,9 +139,13 @@
         request.trials = frozenset(hold.fingerprint for hold in holds)
         return None
 
+    def find(self, request: RequestFingerprints) -> Hold | None:
+        """Return the hold of a request, None if there is none."""
+        return next(iter(self._find_all(request)), None)
+
     def is_held(self, request: RequestFingerprints) -> bool:
         """Return whether a request must not be sent, or not again."""
-        return bool(self._find_all(request))
+        return self.find(request) is not None
 
     def _find_all(self, request: RequestFingerprints) -> list[Hold]:
         """Return the holds of a request, but those that it is a trial of."""
--- a/standins/aspenfold_standins/platform_worker.py
+++ b/standins/aspenfold_standins/platform_worker.py
@@ -75,15 +75,21 @@
             self._restart.cancel()
         await self._server.stop()
 
-    def crash(self, down_s: float) -> None:
-        """Reset every connection and listen again after ``down_s``."""
+    def crash(self, down_s: float, *, silently: bool = False) -> None:
+        """Reset every connection and listen again after ``down_s``.
+
+        A silent crash leaves connections open and answers nothing on them.
+        """
         if self._restart is None or self._restart.done():
             self.crashes.append(time.monotonic())
-            self._restart = asyncio.create_task(self._crash(down_s))
+            self._restart = asyncio.create_task(self._crash(down_s, silently))
 
-    async def _crash(self, down_s: float) -> None:
+    async def _crash(self, down_s: float, silently: bool) -> None:
         port = self.port
-        await self._server.stop()
+        if silently:
+            self._server.stop_listening()
+        else:
+            await self._server.stop()
         await asyncio.sleep(down_s)
         await self._server.start(port)
 
@@ -167,6 +173,7 @@
     body: bytes = b''
     events: int = 0
     down_s: float = 1.5
+    silently: bool = False
     otherwise: Script
 
     async def __call__(
@@ -180,7 +187,7 @@
             await _send_events(worker, exchange, self.events)
         else:
             worker.record_execution(exchange)
-        worker.crash(self.down_s)
+        worker.crash(self.down_s, silently=self.silently)
         await asyncio.Event().wait()
 
     def is_fatal(self, request: http11.Request) -> bool:
--- a/tests/functional/test_gateway_crashes.py
+++ b/tests/functional/test_gateway_crashes.py
@@ -377,3 +377,33 @@
             assert 'is not in quarantine' in error
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('events', [0, 2])
+def test_endpoints_that_end_silently_are_evidence_too(events: int) -> None:
+    """Their connections stay open until the deadline of the callers."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            crash = workers.CrashOn(
+                part=BAD_PART,
+                events=events,
+                down_s=9.0,
+                silently=True,
+                otherwise=workers.stream_events,
+            )
+            for number in range(4):
+                await rig.add_worker(f'w-{number}', crash)
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 4)
+            await rig.wait_until_ready()
+            header = parts_header(COMMON_PART, BAD_PART, '1')
+            header |= rigs.deadline_header(1.2)
+            for _ in range(2):
+                response = await rig.request('/stream/', **header)
+                assert not response.body.startswith(b'[1106]')
+            async with asyncio.timeout(STABLE_WINDOW_S):
+                while not response.body.startswith(b'[1106]'):
+                    response = await rig.request('/stream/', **header)
+            assert sum(len(w.crashes) for w in rig.workers) <= 3
+
+    asyncio.run(run())
--- a/tests/unit/test_trace.py
+++ b/tests/unit/test_trace.py
@@ -46,6 +46,20 @@
     assert trace.count_dropped_lines(lines) == {'x': 4}
 
 
+def test_a_request_that_was_kept_back_leads_to_the_crashes() -> None:
+    """Other crashes, and those of another quarantine, are left out."""
+    fields = [
+        {'event': 513, 'call': 'x', 'timestamp': 1.0, 'fingerprints': ['pA']},
+        {'event': 513, 'call': 'y', 'timestamp': 2.0, 'fingerprints': ['pB']},
+        {'event': 514, 'timestamp': 3.0, 'fingerprint': 'pA'},
+        {'event': 514, 'timestamp': 4.0, 'fingerprint': 'pB'},
+        {'event': 202, 'call': 'a', 'timestamp': 5.0, 'fingerprint': 'pA'},
+    ]
+    lines = [trace.LogLine(source='one', fields=f) for f in fields]
+    found = trace.request_lines(lines, 'a')
+    assert [x.fields['timestamp'] for x in found] == [1.0, 3.0, 5.0]
+
+
 def test_command_prints_the_lines_of_a_request(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
