Judge whole requests more slowly than parts

Callers repeat sound requests too: a service of few endpoints that end one after the other answers nothing between, and a request that is asked for often is at all of them. It was held after two, as answers to whole requests were remembered only once there were crashes, and would have stayed refused with the service back. Answers to them are always remembered now, apart from those of parts so that these are not displaced, and a whole request needs three crashes, five if it was answered in the minute before. Found on reading how the soak's callers, who all send the same, would fare.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -33,11 +33,11 @@
 Fingerprint = fingerprints.Fingerprint
 
 MIN_CRASHES_CERTAIN = 2
-"""Crashes, apart in time, after which a fingerprint is a cause if it is in all
+"""Crashes, apart in time, after which a part is a cause if it is in all
 crashes since its first one, and no endpoint outlived it."""
 
 MIN_CRASHES = 3
-"""The same if it is in MIN_SHARE of them."""
+"""The same if it is in MIN_SHARE of them, and for a whole request."""
 
 MIN_CRASHES_UNLIKELY = 5
 """The same if it is in fewer, or was answered shortly before the first."""
@@ -58,8 +58,11 @@
 MAX_SUSPECTS = 32
 """Suspects of one crash, those that were never answered first."""
 
-MAX_ANSWERED = 4_096
-"""Fingerprints of which answers are remembered, the latest ones."""
+MAX_ANSWERED_PARTS = 4_096
+"""Parts of which answers are remembered, the latest ones."""
+
+MAX_ANSWERED_REQUESTS = 1_024
+"""The same of whole requests, most of which never come again."""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -71,6 +74,27 @@
     suspects: set[Fingerprint]
 
 
+class _AnswerTimes:
+    """When fingerprints were last answered; ``limit`` are remembered."""
+
+    def __init__(self, *, limit: int) -> None:
+        self._limit = limit
+        self._times: collections.OrderedDict[
+            Fingerprint, datetime.datetime
+        ] = collections.OrderedDict()
+
+    def get(self, fingerprint: Fingerprint) -> datetime.datetime | None:
+        """Return the time, None if it is not known."""
+        return self._times.get(fingerprint)
+
+    def record(self, fingerprint: Fingerprint, at: datetime.datetime) -> None:
+        """Note an answer; times told by others may come out of order."""
+        self._times[fingerprint] = max(at, self._times.get(fingerprint, at))
+        self._times.move_to_end(fingerprint)
+        if len(self._times) > self._limit:
+            self._times.popitem(last=False)
+
+
 class Inference(typing.Protocol):
     """Tells the causes of crashes from the evidence."""
 
@@ -104,9 +128,8 @@
 
     def __init__(self) -> None:
         self._crashes: list[Crash] = []
-        self._answered_at: collections.OrderedDict[
-            Fingerprint, datetime.datetime
-        ] = collections.OrderedDict()
+        self._answered_parts = _AnswerTimes(limit=MAX_ANSWERED_PARTS)
+        self._answered_requests = _AnswerTimes(limit=MAX_ANSWERED_REQUESTS)
         self._survivals: collections.Counter[Fingerprint] = (
             collections.Counter()
         )
@@ -138,20 +161,25 @@
     ) -> list[Fingerprint]:
         """Return suspects in order of their last answers, if any."""
         return sorted(
-            suspects, key=lambda s: (self._answered_at.get(s, clock.EPOCH), s)
+            suspects, key=lambda s: (self.answered_at(s) or clock.EPOCH, s)
         )
 
     def answered_at(
         self, fingerprint: Fingerprint
     ) -> datetime.datetime | None:
         """Return when it was last answered, None if that is not known."""
-        return self._answered_at.get(fingerprint)
+        return self._answers(fingerprint).get(fingerprint)
+
+    def _answers(self, fingerprint: Fingerprint) -> '_AnswerTimes':
+        if fingerprints.is_request(fingerprint):
+            return self._answered_requests
+        return self._answered_parts
 
     def was_answered(
         self, fingerprint: Fingerprint, at: datetime.datetime
     ) -> bool:
         """Return whether it was answered shortly before ``at`` or since."""
-        answered_at = self._answered_at.get(fingerprint)
+        answered_at = self.answered_at(fingerprint)
         return answered_at is not None and answered_at > at - ANSWER_MEMORY
 
     def count_crashes(self, fingerprint: Fingerprint) -> int:
@@ -191,13 +219,7 @@
         self, fingerprint: Fingerprint, at: datetime.datetime
     ) -> None:
         """Note that an endpoint answered a request at ``at``."""
-        known = self._answered_at.get(fingerprint)
-        if known is not None:
-            at = max(at, known)
-        self._answered_at[fingerprint] = at
-        self._answered_at.move_to_end(fingerprint)
-        if len(self._answered_at) > MAX_ANSWERED:
-            self._answered_at.popitem(last=False)
+        self._answers(fingerprint).record(fingerprint, at)
 
     def record_survival(self, fingerprint: Fingerprint) -> None:
         """Note that an endpoint outlived an answer that it had begun."""
@@ -256,7 +278,7 @@
         """Return whether no answer clears a suspect of a crash."""
         if suspect not in crash.suspects:
             return False
-        answered_at = self._answered_at.get(suspect)
+        answered_at = self.answered_at(suspect)
         return answered_at is None or answered_at <= crash.at
 
     def _is_cause(
@@ -270,7 +292,11 @@
             return False
         since = sum(crash.at >= times[0] for crash in crashes)
         needed = MIN_CRASHES
-        if len(times) == since and not survivals:
+        if (
+            len(times) == since
+            and not survivals
+            and not fingerprints.is_request(suspect)
+        ):
             needed = MIN_CRASHES_CERTAIN
         is_likely = len(times) >= MIN_SHARE * since
         if not is_likely or self.was_answered(suspect, times[0]):
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -233,10 +233,7 @@
         self, request: RequestFingerprints, now: datetime.datetime
     ) -> None:
         """Record that an endpoint answered a request."""
-        answered = list(request.parts)
-        if self._evidence.crashes or self._holds:
-            answered.append(request.whole)
-        for fingerprint in answered:
+        for fingerprint in request.all():
             self._record_answer(
                 fingerprint, now, reason=f'answered at {self._host}'
             )
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -54,6 +54,19 @@
     assert causes(evidence) == [BAD]
 
 
+def test_a_whole_request_is_the_cause_of_three_crashes() -> None:
+    """Callers that repeat theirs have it at many endpoints."""
+    assert causes(crashes_of(whole(1), count=2)) == []
+    assert causes(crashes_of(whole(1), count=3)) == [whole(1)]
+
+
+def test_a_request_answered_shortly_before_needs_five_crashes() -> None:
+    """A service that fails whole answers nothing between its crashes."""
+    evidence = crashes_of(whole(1), count=4)
+    evidence.record_answer(whole(1), at(-1))
+    assert causes(evidence) == []
+
+
 def test_a_part_in_most_crashes_is_the_cause_of_three() -> None:
     """Another endpoint ended meanwhile for a reason of its own."""
     evidence = crashes_of(BAD, count=2)
@@ -229,7 +242,7 @@
     for number in range(count):
         suspects = [whole(number * 100 + i) for i in range(100)]
         evidence.record_crash(f'w-{number}', suspects, at(number * 0.1))
-    for number in range(2 * crash_evidence.MAX_ANSWERED):
+    for number in range(2 * crash_evidence.MAX_ANSWERED_REQUESTS):
         evidence.record_answer(whole(number), at(0))
     assert len(evidence.crashes) == crash_evidence.MAX_CRASHES
     assert all(
