Let endpoints crash on a part of prompts in the soak

Requests with the part come at any gateway through the whole soak, beside signals, restarts and cuts; a plain endpoint that gets one resets its connections, half of the times after the head of a response, and listens again after 0.8 to 2 s. The guarantee is the rule's: no more than three later than 3 s after the fifth crash, of gateways that had no fault for 3 s.

--- a/standins/aspenfold_standins/http11.py
+++ b/standins/aspenfold_standins/http11.py
@@ -68,6 +68,9 @@
 Handler = abc.Callable[[Exchange], abc.Awaitable[None]]
 
 
+PORT_RETRY_S = 0.1
+
+
 class Server:
     """Reads complete requests and passes each to ``handler``."""
 
@@ -85,6 +88,17 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def start_again(self) -> None:
+        """Listen on the same port as before, once no connection has it."""
+        while True:
+            try:
+                await self.start(self.port)
+            except OSError:
+                # A connection of this host got the port meanwhile.
+                await asyncio.sleep(PORT_RETRY_S)
+            else:
+                return
+
     def stop_listening(self) -> None:
         """Accept no more connections; those that are open stay."""
         assert self._server is not None
--- a/standins/aspenfold_standins/platform_worker.py
+++ b/standins/aspenfold_standins/platform_worker.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import time
+import typing
 
 from aspenfold_standins import http11
 
@@ -24,6 +25,18 @@
 Script = abc.Callable[['Worker', http11.Exchange], abc.Awaitable[None]]
 
 
+class FatalRequests(typing.Protocol):
+    """Requests on which an endpoint crashes, and how."""
+
+    def is_fatal(self, request: http11.Request) -> bool:
+        """Return whether the endpoint crashes on a request."""
+
+    async def __call__(
+        self, worker: 'Worker', exchange: http11.Exchange
+    ) -> None:
+        """Crash."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Refusal:
     """A 503 that asked for no request for ``retry_after_s`` from ``at`` on.
@@ -46,6 +59,8 @@
     Unless it is None, a 503 states ``retry_after``, in seconds, and is added
     to ``refusals``.  All responses say so while the endpoint is ``leaving``.
     ``crashes`` has the times at which it crashed, by the monotonic clock.
+    Unless it is None, ``fatal`` handles the requests that it names instead of
+    ``script``.
     """
 
     def __init__(self, name: str, *, slots: int = 6) -> None:
@@ -62,6 +77,7 @@
         self.refusals: list[Refusal] = []
         self.leaving = False
         self.crashes: list[float] = []
+        self.fatal: FatalRequests | None = None
         self._server = http11.Server(self._handle)
         self._restart: asyncio.Task[None] | None = None
 
@@ -85,13 +101,12 @@
             self._restart = asyncio.create_task(self._crash(down_s, silently))
 
     async def _crash(self, down_s: float, silently: bool) -> None:
-        port = self.port
         if silently:
             self._server.stop_listening()
         else:
             await self._server.stop()
         await asyncio.sleep(down_s)
-        await self._server.start(port)
+        await self._server.start_again()
 
     @property
     def port(self) -> int:
@@ -146,8 +161,11 @@
         if expected not in (None, self.name):
             await exchange.respond(421)
             return
+        script = self.script
+        if self.fatal is not None and self.fatal.is_fatal(exchange.request):
+            script = self.fatal
         try:
-            await self.script(self, exchange)
+            await script(self, exchange)
         except asyncio.CancelledError:
             self.cancelled_count += 1
             raise
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -11,6 +11,7 @@
 import pytest
 
 from tests.lib import free_ports
+from tests.soak import crashes
 from tests.soak import guarantees
 from tests.soak import main
 from tests.soak import rate_limits
@@ -302,3 +303,28 @@
         [], [scenario.worker], scenario.history
     )
     assert bool(violations) is is_found
+
+
+@pytest.mark.parametrize(
+    ('requests', 'crash_count', 'fault', 'is_found'),
+    [
+        (4, 5, '', True),
+        (3, 5, '', False),
+        (4, 4, '', False),
+        (4, 5, 'g', False),
+    ],
+)
+def test_checker_reports_requests_after_many_crashes(
+    requests: int, crash_count: int, fault: str, is_found: bool
+) -> None:
+    """Three may come late, more only of a gateway that had a fault."""
+    history = soak_history.SoakHistory()
+    begun_at = time.monotonic()
+    times = [begun_at + number for number in range(crash_count)]
+    late_at = times[-1] + crashes.LEARNING_S + 0.1
+    arrivals = [(late_at + number, ('g', 1)) for number in range(requests)]
+    arrivals.append((late_at - 1, ('g', 1)))
+    if fault:
+        history.start_fault(fault)
+    violations = crashes.find_violations(times, arrivals, history)
+    assert bool(violations) is is_found
--- /dev/null
+++ b/tests/soak/crashes.py
@@ -0,0 +1,170 @@
+"""Requests with a part on which endpoints crash in a soak, and their check."""
+
+import asyncio
+from collections import abc
+import random
+import time
+
+from aspenfold_standins import http11
+from aspenfold_standins import platform_worker
+
+from tests.lib import gateway_rig
+from tests.soak import callers
+from tests.soak import soak_history
+from tests.soak import system_under_test
+
+BAD_PART = 'bad0'
+
+PATH = '/stream/'
+
+REQUEST_PAUSE_RANGE_S = (0.1, 0.6)
+
+HEAD_FRACTION = 0.5
+"""Part of the crashes that come after the head of a response."""
+
+DOWN_RANGE_S = (0.8, 2.0)
+"""How long a crashed endpoint does not listen."""
+
+CRASHES_TO_LEARN = 5
+
+MAX_LATE_REQUESTS = 3
+
+LEARNING_S = 3.0
+"""Time after the last crash in which gateways may send such requests."""
+
+
+class CrashInjector:
+    """Sends requests with the bad part, on which plain endpoints crash.
+
+    ``crashes`` has the times of the crashes, ``arrivals`` the time and the
+    gateway's process of each such request that reached an endpoint.
+    """
+
+    def __init__(
+        self,
+        *,
+        system: system_under_test.SystemUnderTest,
+        history: soak_history.SoakHistory,
+        rng: random.Random,
+    ) -> None:
+        self._system = system
+        self._history = history
+        self._rng = rng
+        self._number = 0
+        self._down: list[system_under_test.Endpoint] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.crashes: list[float] = []
+        self.arrivals: list[tuple[float, soak_history.Process]] = []
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(*REQUEST_PAUSE_RANGE_S))
+            for endpoint in self._system.endpoints:
+                if endpoint.service == 'plain':
+                    endpoint.worker.fatal = self
+            self._number += 1
+            self._start(self._send(self._number))
+
+    def _start(self, work: abc.Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, number: int) -> None:
+        gateway = self._rng.choice(self._system.gateways)
+        attempt_id = f'soak-crash-{number}'
+        request = soak_history.RequestRecord(
+            attempt_id=attempt_id,
+            path=PATH,
+            gateway=gateway.name,
+            process_number=len(gateway.processes),
+            sent_at=time.monotonic(),
+        )
+        self._history.add_request(request)
+        # The endpoint breaks the response off.
+        self._history.broken_attempts.add(attempt_id)
+        lines = [
+            f'GET {PATH} HTTP/1.1',
+            f'Host: {gateway_rig.HOST}',
+            f'X-Aspenfold-Attempt-Id: {attempt_id}',
+            f'Authorization: Bearer {gateway_rig.KEY}',
+            f'X-Aspenfold-Prompt-Prefix-Hash: c0:9,{BAD_PART}:9,{number:x}:9',
+        ]
+        try:
+            async with asyncio.timeout(callers.CALLER_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1', gateway.caller_link.port
+                )
+                writer.write('\r\n'.join([*lines, '', '']).encode())
+                request.response = await gateway_rig.read_response(reader)
+                writer.close()
+        except (OSError, TimeoutError):
+            # The request stays without a response.
+            return
+        finally:
+            request.ended_at = time.monotonic()
+
+    def is_fatal(self, request: http11.Request) -> bool:
+        """Return whether a request has the bad part."""
+        value = request.headers.get(platform_worker.PROMPT_HEADER, '')
+        return f'{BAD_PART}:' in value
+
+    async def __call__(
+        self, worker: platform_worker.Worker, exchange: http11.Exchange
+    ) -> None:
+        """Crash the endpoint, perhaps after the head of its response."""
+        attempt_id = exchange.request.headers[platform_worker.ATTEMPT_HEADER]
+        process = self._history.process_of(attempt_id)
+        if process is not None:
+            self.arrivals.append((exchange.request.arrived_at, process))
+        worker.record_execution(exchange)
+        if self._rng.random() < HEAD_FRACTION:
+            lines = [
+                f'{n}: {v}'
+                for n, v in worker.response_headers(exchange).items()
+            ]
+            lines.append('content-type: text/event-stream')
+            head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, '', ''])
+            await exchange.write(head.encode())
+        for endpoint in self._system.endpoints:
+            if endpoint.worker is worker and endpoint not in self._down:
+                self._start(self._crash(endpoint))
+        await asyncio.Event().wait()
+
+    async def _crash(self, endpoint: system_under_test.Endpoint) -> None:
+        self._down.append(endpoint)
+        self.crashes.append(time.monotonic())
+        period = self._history.start_fault(endpoint.worker.name)
+        await endpoint.link.crash(self._rng.uniform(*DOWN_RANGE_S))
+        self._history.end_fault(period)
+        self._down.remove(endpoint)
+
+
+def find_violations(
+    crashes: abc.Collection[float],
+    arrivals: abc.Iterable[tuple[float, soak_history.Process]],
+    history: soak_history.SoakHistory,
+) -> list[str]:
+    """Return a description if too many bad requests reached endpoints.
+
+    Those of gateways that had a fault, or lacked the store, shortly before
+    do not count.
+    """
+    times = sorted(crashes)
+    if len(times) < CRASHES_TO_LEARN:
+        return []
+    learned_at = times[CRASHES_TO_LEARN - 1]
+    late = [
+        (at, name)
+        for at, (name, _) in arrivals
+        if at > learned_at + LEARNING_S
+        and history.is_fault_free(name, at, at)
+        and history.is_fault_free('store', at, at)
+    ]
+    if len(late) <= MAX_LATE_REQUESTS:
+        return []
+    return [
+        f'{len(late)} requests with a part reached endpoints later than '
+        f'{LEARNING_S} s after {CRASHES_TO_LEARN} had crashed under it'
+    ]
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -12,6 +12,7 @@
 
 from tests.soak import broken_responses
 from tests.soak import callers
+from tests.soak import crashes
 from tests.soak import faults
 from tests.soak import guarantees
 from tests.soak import rate_limits
@@ -41,6 +42,7 @@
     seed: int
     request_count: int
     served_count: int
+    crash_count: int
     rank_switch_count: int
     violations: list[str]
     fault_log: list[str]
@@ -81,6 +83,11 @@
         history=history,
         rng=random.Random(f'{seed} response ends'),
     )
+    crash_injector = crashes.CrashInjector(
+        system=system,
+        history=history,
+        rng=random.Random(f'{seed} crashes'),
+    )
     probers = [
         callers.PlanProber(system=system, gateway=gateway, history=history)
         for gateway in system.gateways
@@ -112,6 +119,7 @@
                 limits,
                 injected_statements,
                 breaker,
+                crash_injector,
             ]
         ]
         await injector.run(duration_s)
@@ -134,6 +142,9 @@
         injected_statements.left,
         history,
     )
+    violations += crashes.find_violations(
+        crash_injector.crashes, crash_injector.arrivals, history
+    )
     requests = history.requests.values()
     return SoakResult(
         seed=seed,
@@ -141,6 +152,7 @@
             not x.attempt_id.startswith('probe-') for x in requests
         ),
         served_count=sum(x.served for x in requests),
+        crash_count=len(crash_injector.crashes),
         rank_switch_count=system.group.simulation.rank_switch_count,
         violations=violations,
         fault_log=injector.log,
@@ -203,6 +215,7 @@
         sys.stdout.write(
             f'seed {seed}: {len(result.fault_log)} faults, '
             f'{result.request_count} requests, {result.served_count} served, '
+            f'{result.crash_count} crashes, '
             f'{result.rank_switch_count} rank map switches, '
             f'{len(result.violations)} violations\n'
         )
