Replay loads of crashing endpoints, beside simpler inferences

A simulation runs the real quarantines of 3 to 24 gateways with losses and delays between them and sound, bad and killed requests; the benchmark prints ends, late requests and false holds of what is used, of gateways that tell each other nothing, and of counting five crashes.

--- a/bench/main.py
+++ b/bench/main.py
@@ -7,6 +7,7 @@
 import fire
 
 from bench import backoff
+from bench import crashes
 from bench import entry_edge
 from bench import gateway
 from bench import load
@@ -24,6 +25,7 @@
     gateway,
     rate_limits,
     backoff,
+    crashes,
     entry_edge,
 )
 """Importing these modules registers their benchmarks."""
