Wait a moment for other gateways to clear a request that lost its endpoint

A request under which an endpoint ended was tried again only if its own gateway had answered its parts lately. With many gateways and many parts most are not, so that sound callers would have lost their retry to each end of an endpoint. It waits up to 0.3 s for a peer to say so; what nobody has answered goes to no second endpoint, as before.

What peers tell is counted from when it was sent, by the delay over their quickest update: a gateway that was suspended reads old updates when it goes on, and an old answer would have ended a quarantine that began after it. Records that can't be read end neither the writer of quarantines nor the operators' list.

--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -6,6 +6,7 @@
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import endpoint_probe
+from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import quarantine as quarantine_module
 from aspenfold._internal.kernel import clock as clock_module
@@ -19,6 +20,12 @@
 MIN_SILENCE = datetime.timedelta(seconds=1)
 """Time without output after which an endpoint may have ended silently."""
 
+CLEARING_TIMEOUT = datetime.timedelta(milliseconds=300)
+"""How long a request that lost its endpoint waits for other gateways to say
+that its parts were answered: some of their updates."""
+
+CLEARING_POLL_INTERVAL_S = 0.025
+
 MAX_PROBES = 16
 """Probes of silent endpoints at once."""
 
@@ -67,10 +74,21 @@
                 self._quarantine.record_survival(request)
             return outcome.AttemptResult.LOST
         self._record_end(call, endpoint, written, lost_at)
-        if endpoint.leaving or self._quarantine.may_retry(request, lost_at):
+        if endpoint.leaving or await self._is_cleared(request):
             return outcome.AttemptResult.LOST
         return outcome.AttemptResult.ENDED
 
+    async def _is_cleared(
+        self, request: fingerprints.RequestFingerprints
+    ) -> bool:
+        """Return whether a request is soon known not to be the cause."""
+        deadline = self._clock.now() + CLEARING_TIMEOUT
+        while not self._quarantine.may_retry(request, self._clock.now()):
+            if not request.parts or self._clock.now() >= deadline:
+                return False
+            await asyncio.sleep(CLEARING_POLL_INTERVAL_S)
+        return True
+
     def watch_silence(
         self, call: call_module.Call, endpoint: directory.Endpoint
     ) -> None:
--- a/src/aspenfold/_internal/gateway/peer_update.py
+++ b/src/aspenfold/_internal/gateway/peer_update.py
@@ -30,7 +30,8 @@
     ``slowdowns`` of slow endpoints.  ``is_reader`` is whether it reads the
     store itself.  ``recovery_ages`` is how long ago groups recovered.
     ``rate_reports`` are on endpoints with rate limits, ``quarantine`` is on
-    requests under which endpoints ended.
+    requests under which endpoints ended.  ``uptime`` is how long the process
+    had run when it sent this.
     """
 
     host: str
@@ -44,6 +45,7 @@
     is_reader: bool
     recovery_ages: dict[str, datetime.timedelta]
     rate_reports: dict[str, rate_limits.Report]
+    uptime: datetime.timedelta | None = None
     quarantine: quarantine_report.Report = quarantine_report.EMPTY
 
 
@@ -104,6 +106,7 @@
             {k: ages.encode(v) for k, v in update.recovery_ages.items()},
             {k: _encode_report(v) for k, v in update.rate_reports.items()},
             quarantine_report.encode(quarantine),
+            None if update.uptime is None else ages.encode(update.uptime),
         ]
     )
 
@@ -129,6 +132,7 @@
     recovery_ages: dict[str, int] | None = None,
     rate_reports: object = None,
     quarantine: object = None,
+    uptime_ms: int | None = None,
     *_: object,
 ) -> PeerUpdate:
     reports = rate_reports if isinstance(rate_reports, dict) else {}
@@ -148,6 +152,7 @@
             str(k): ages.decode(v) for k, v in (recovery_ages or {}).items()
         },
         rate_reports={str(k): _decode_report(*v) for k, v in reports.items()},
+        uptime=None if uptime_ms is None else ages.decode(uptime_ms),
         quarantine=quarantine_report.decode(quarantine)
         if quarantine
         else quarantine_report.EMPTY,
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -77,6 +77,8 @@
     # None once its requests in flight no longer count.
     counted_at: datetime.datetime | None = None
     last_update_at: datetime.datetime | None = None
+    # When its process started, by the quickest of its updates.
+    started_at: datetime.datetime | None = None
 
 
 class Peers:
@@ -176,10 +178,27 @@
         self._add_in_flight(last, -1)
         self._add_in_flight(update, 1)
         peer.update = update
+        if not is_same_process:
+            peer.started_at = None
+        if update.uptime is not None:
+            started_at = now - update.uptime
+            peer.started_at = min(peer.started_at or started_at, started_at)
         if update.token:
             self._directory.set_slowdowns(update.slowdowns)
         return update
 
+    def sent_at(
+        self, update: peer_update.PeerUpdate, now: datetime.datetime
+    ) -> datetime.datetime:
+        """Return when an update that was received ``now`` was sent.
+
+        It is late if it waited while a host was suspended, or on a link.
+        """
+        peer = self._peers.get(update.host)
+        if peer is None or peer.started_at is None or update.uptime is None:
+            return now
+        return min(now, peer.started_at + update.uptime)
+
     def is_leader_alive(self, now: datetime.datetime) -> bool:
         """Return whether a leader sent an update within its timeout."""
         return any(
@@ -285,12 +304,14 @@
             self._remote_sent = current
         if not due:
             return None
-        data = self._encode_update(in_flight_counts)
+        data = self._encode_update(in_flight_counts, now)
         if data is None:
             return None
         return OutgoingUpdate(data=data, addresses=due)
 
-    def _encode_update(self, in_flight_counts: dict[str, int]) -> bytes | None:
+    def _encode_update(
+        self, in_flight_counts: dict[str, int], now: datetime.datetime
+    ) -> bytes | None:
         """Return the next update, None if it is too large to send."""
         self._sequence += 1
         encoded = peer_update.encode(
@@ -306,6 +327,7 @@
                 is_reader=self.is_reader,
                 recovery_ages=self.recovery_ages,
                 rate_reports=self.rate_reports,
+                uptime=now - self._started_at,
                 quarantine=self.quarantine,
             )
         )
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -354,21 +354,26 @@
         peer: str,
         report: quarantine_report.Report,
         now: datetime.datetime,
+        *,
+        sent_at: datetime.datetime | None = None,
     ) -> None:
-        """Apply what a peer tells."""
+        """Apply what a peer told at ``sent_at``, by default ``now``."""
+        told_at = sent_at or now
         for fingerprint, age in report.answer_ages.items():
             self._record_answer(
-                fingerprint, now - age, reason=f'answered, as {peer} tells'
+                fingerprint,
+                told_at - age,
+                reason=f'answered, as {peer} tells',
             )
         oldest = now - crash_evidence.CRASH_MEMORY
         for crash in report.crashes:
-            at = now - crash.age
+            at = told_at - crash.age
             if at >= oldest:
                 self._evidence.record_crash(
                     crash.incarnation, crash.suspects, at
                 )
         for fingerprint, told in report.holds.items():
-            self._receive_hold(peer, fingerprint, told, now)
+            self._receive_hold(peer, fingerprint, told, told_at)
         if report.crashes:
             self.update(now)
 
@@ -377,9 +382,9 @@
         peer: str,
         fingerprint: Fingerprint,
         told: quarantine_report.HoldReport,
-        now: datetime.datetime,
+        told_at: datetime.datetime,
     ) -> None:
-        begun_at, seen_at = now - told.age, now - told.seen_age
+        begun_at, seen_at = told_at - told.age, told_at - told.seen_age
         known = self._holds.get(fingerprint)
         if known is not None:
             known.begun_at = min(known.begun_at, begun_at)
@@ -397,5 +402,5 @@
             source=peer,
             trials=told.trials,
         )
-        if hold.ends_at() > now:
+        if hold.ends_at() > told_at:
             self._begin(hold)
--- a/src/aspenfold/_internal/gateway/quarantine_records.py
+++ b/src/aspenfold/_internal/gateway/quarantine_records.py
@@ -258,7 +258,11 @@
         value = self._stored.get(key)
         if value is None:
             return False
-        stored = CrashRecord.model_validate_json(value)
+        try:
+            stored = CrashRecord.model_validate_json(value)
+        except ValueError:
+            # It was logged when it was read; write a valid one.
+            return False
         return stored.incarnation == record.incarnation and set(
             record.suspects
         ) <= set(stored.suspects)
@@ -268,7 +272,12 @@
     """Return the quarantines in a page of the topic, released ones too."""
     found = {}
     for record in page.records:
-        if record.value and record.key.startswith(HOLD_PREFIX):
-            name = Fingerprint(record.key.removeprefix(HOLD_PREFIX))
+        if not record.value or not record.key.startswith(HOLD_PREFIX):
+            continue
+        name = Fingerprint(record.key.removeprefix(HOLD_PREFIX))
+        try:
             found[name] = HoldRecord.model_validate_json(record.value)
+        except ValueError:
+            # Gateways log such a record, and use it as little.
+            continue
     return found
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -234,7 +234,12 @@
             self._core.rate_limits.receive(
                 update.host, update.incarnation, update.rate_reports, now
             )
-            self._core.quarantine.receive(update.host, update.quarantine, now)
+            self._core.quarantine.receive(
+                update.host,
+                update.quarantine,
+                now,
+                sent_at=self._peers.sent_at(update, now),
+            )
 
         peer_socket = await datagrams.listen(
             self._cfg.address, self._cfg.peer_port, receive
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -4,12 +4,16 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
+from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import peer_update
+from aspenfold._internal.gateway import peers
 from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import quarantine_report
+from aspenfold._internal.gateway import settings
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import http1_server
 
@@ -228,6 +232,58 @@
     assert not one.may_retry(request, NOW + SECOND)
 
 
+def test_what_is_told_late_counts_from_when_it_was_sent() -> None:
+    """A suspended gateway reads old updates when it goes on."""
+    one = quarantine.Quarantine(host='g-0')
+    for number in range(2):
+        request = request_with('bad', body=b'%d' % number)
+        one.record_crash(f'w-{number}', request, NOW + number * SECOND)
+    one.update(NOW + 2 * SECOND)
+    assert one.is_held(request_with('bad'))
+    report = quarantine_report.Report(
+        answer_ages={request_with('bad').parts[0]: SECOND}
+    )
+    late = NOW + 9 * SECOND
+    one.receive('peer', report, late, sent_at=NOW)
+    assert one.is_held(request_with('bad'))
+    one.receive('peer', report, late)
+    assert not one.is_held(request_with('bad'))
+
+
+def test_the_delay_of_an_update_is_told_from_the_quickest_one() -> None:
+    """Each says how long its process had run when it was sent."""
+    sender = make_peers('g-1')
+    receiver = make_peers('g-0')
+    delays = []
+    for seconds, delay_s in ((1, 0.0), (2, 0.05), (3, 4.0), (8, 0.02)):
+        sent_at = NOW + seconds * SECOND
+        outgoing = sender.next_update(sent_at)
+        assert outgoing is not None
+        now = sent_at + delay_s * SECOND
+        update = receiver.receive(outgoing.data, '10.0.0.1', now)
+        assert update is not None
+        delays.append((now - receiver.sent_at(update, now)) / SECOND)
+    assert delays == pytest.approx([0.0, 0.05, 4.0, 0.02])
+
+
+def make_peers(host: str) -> peers.Peers:
+    """Return the peer updates of a gateway that was started just now."""
+    made = peers.Peers(
+        host=host,
+        zone='zone-a',
+        incarnation=host,
+        port=9,
+        endpoint_directory=directory.Directory(),
+        now=NOW,
+    )
+    addresses = {
+        f'g-{number}': settings.TcpAddress(host=f'10.0.0.{number}', port=9)
+        for number in range(2)
+    }
+    made.set_addresses(addresses)
+    return made
+
+
 NAMES = st.text('abcdefghij-_0123456789', min_size=1, max_size=12)
 FINGERPRINTS = NAMES.map(fingerprints.Fingerprint)
 AGES = st.integers(0, 3_600_000).map(lambda ms: ms * clock.MILLISECOND)
