Let clocks of gateways drift apart

The delay of a peer's update is told from its quickest one, by the uptime that it states. The estimate may rise by 200 in a million now. The protocol of inferences, which nothing used, is gone.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -25,7 +25,6 @@
 from collections import abc
 import dataclasses
 import datetime
-import typing
 
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.kernel import clock
@@ -96,31 +95,6 @@
             self._times.popitem(last=False)
 
 
-class Inference(typing.Protocol):
-    """Tells the causes of crashes from the evidence."""
-
-    def record_crash(
-        self,
-        incarnation: str,
-        suspects: abc.Iterable[Fingerprint],
-        at: datetime.datetime,
-    ) -> None:
-        """Add the crash of an endpoint, or suspects of a known one."""
-
-    def record_answer(
-        self, fingerprint: Fingerprint, at: datetime.datetime
-    ) -> None:
-        """Note that an endpoint answered a request at ``at``."""
-
-    def record_survival(self, fingerprint: Fingerprint) -> None:
-        """Note that an endpoint outlived an answer that it had begun."""
-
-    def causes(
-        self, known: abc.Collection[Fingerprint], now: datetime.datetime
-    ) -> list[Fingerprint]:
-        """Return the new causes, beside those that are ``known``."""
-
-
 class CrashEvidence:
     """Crashes and answers that this and other gateways saw.
 
--- a/src/aspenfold/_internal/gateway/peers.py
+++ b/src/aspenfold/_internal/gateway/peers.py
@@ -54,6 +54,10 @@
 requests go to other zones only where the own one has clearly more load."""
 
 
+MAX_CLOCK_DRIFT = 2e-4
+"""How much faster one host's clock may run than another's."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class OutgoingUpdate:
     """A datagram that is due, and the addresses to send it to."""
@@ -173,20 +177,36 @@
             and update.sequence <= last.sequence
         ):
             return None
+        if not is_same_process:
+            peer.started_at = None
+        self._estimate_start(peer, update, now)
         peer.counted_at = peer.last_update_at = now
         self.zones[update.host] = update.zone
         self._add_in_flight(last, -1)
         self._add_in_flight(update, 1)
         peer.update = update
-        if not is_same_process:
-            peer.started_at = None
-        if update.uptime is not None:
-            started_at = now - update.uptime
-            peer.started_at = min(peer.started_at or started_at, started_at)
         if update.token:
             self._directory.set_slowdowns(update.slowdowns)
         return update
 
+    def _estimate_start(
+        self,
+        peer: _Peer,
+        update: peer_update.PeerUpdate,
+        now: datetime.datetime,
+    ) -> None:
+        """Estimate when a peer's process started, by its quickest update.
+
+        The clocks of both hosts drift apart meanwhile.
+        """
+        if update.uptime is None:
+            return
+        started_at = now - update.uptime
+        if peer.started_at is not None and peer.last_update_at is not None:
+            drift = (now - peer.last_update_at) * MAX_CLOCK_DRIFT
+            started_at = min(started_at, peer.started_at + drift)
+        peer.started_at = started_at
+
     def sent_at(
         self, update: peer_update.PeerUpdate, now: datetime.datetime
     ) -> datetime.datetime:
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -42,7 +42,7 @@
 """Fingerprints in quarantine, the latest ones."""
 
 MAX_REPORTED_CRASHES = 6
-"""Crashes in one peer update, the latest ones."""
+"""Crashes in one peer update, the most telling ones."""
 
 MAX_OWN_CRASHES = 8
 """Crashes that this gateway saw itself and may have to write down."""
