--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -50,6 +50,8 @@
         self._system = system
         self._history = history
         self._rng = rng
+        # An endpoint that answered the part would clear it.
+        system.fatal = self
         self._number = 0
         self._down: list[system_under_test.Endpoint] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -60,9 +62,6 @@
         """Send requests until cancelled."""
         while True:
             await asyncio.sleep(self._rng.uniform(*REQUEST_PAUSE_RANGE_S))
-            for endpoint in self._system.endpoints:
-                if endpoint.service == 'plain':
-                    endpoint.worker.fatal = self
             self._number += 1
             self._start(self._send(self._number))
 
--- a/tests/soak/system_under_test.py
+++ b/tests/soak/system_under_test.py
@@ -295,6 +295,7 @@
             )
             for n, host in enumerate(hosts[gateway_count:])
         ]
+        self.fatal: platform_worker.FatalRequests | None = None
         self._endpoint_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -371,6 +372,8 @@
         service: str,
         host: str = '127.0.0.1',
     ) -> Endpoint:
+        if service == 'plain':
+            worker.fatal = self.fatal
         worker.event_count = EVENT_COUNT
         worker.event_interval_s = EVENT_INTERVAL_S
         await worker.start()
