--- a/tests/lib/simulated_crashes.py
+++ b/tests/lib/simulated_crashes.py
@@ -152,7 +152,7 @@
             up = [e for e in self._endpoints if e.up_at <= self.now]
             if not up:
                 continue
-            endpoint = min(up, key=lambda e: (len(e.attempts), id(e)))
+            endpoint = min(up, key=lambda e: len(e.attempts))
             endpoint.attempts.append(
                 _Attempt(
                     gateway=number,
