Apply a crash that is known already with less work

Peers tell the same crashes with each update, and each one sorted all crashes and all its suspects again.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -176,19 +176,22 @@
         if crash is None:
             crash = Crash(incarnation=incarnation, at=at, suspects=set())
             self._crashes.append(crash)
+            self._sort()
             self.version += 1
-        # What is told late, by a suspended gateway, seems to be later.
-        crash.at = min(crash.at, at)
-        self._crashes.sort(key=lambda one: one.at)
-        del self._crashes[:-MAX_CRASHES]
-        for suspect in self.unlikely_last(suspects):
-            if suspect in crash.suspects:
-                continue
+        elif at < crash.at:
+            # What is told late, by a suspended gateway, seems to be later.
+            crash.at = at
+            self._sort()
+        for suspect in self.unlikely_last(set(suspects) - crash.suspects):
             if len(crash.suspects) < MAX_SUSPECTS:
                 crash.suspects.add(suspect)
                 self._suspects.add(suspect)
                 self.version += 1
 
+    def _sort(self) -> None:
+        self._crashes.sort(key=lambda one: one.at)
+        del self._crashes[:-MAX_CRASHES]
+
     def _find(self, incarnation: str) -> Crash | None:
         for crash in self._crashes:
             if crash.incarnation == incarnation:
