Connect to endpoints in one place

The probe had a copy of the attempt's timeout and its reason. Both connect by one function now. A waiting request is registered where it is sent, so that reading its head needs no second function, and how long an answer was written is worked out once. Behaviour is the same.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -6,6 +6,7 @@
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_connection
 from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import outage
@@ -16,10 +17,6 @@
 from aspenfold._internal.network import http1_client
 from aspenfold._internal.observability import events
 
-CONNECT_TIMEOUT_S = 0.3
-"""Timeout of a connection to an endpoint, in seconds.  A cut link never
-accepts; the longest round trip between zones is 3 ms."""
-
 
 class Attempt:
     """Sends a request to one endpoint and receives the response."""
@@ -75,10 +72,9 @@
         return result
 
     async def _connect_and_send(self) -> outcome.AttemptResult:
-        listing = self._endpoint.listing
         try:
-            connection = await http1_client.connect(
-                listing.host, listing.port, CONNECT_TIMEOUT_S
+            connection = await endpoint_connection.connect(
+                self._endpoint.listing
             )
         except http1_client.NotConnected:
             self._history.unreachable += 1
@@ -108,7 +104,10 @@
             connection.send(
                 request.method, request.target, headers, request.body
             )
-            head = await self._read_head(connection)
+            with self._core.quarantine.waiting(
+                self._call.fingerprints, connection.close
+            ):
+                head = await self._read_head(connection)
             result = self._evaluate_head(head, sent_at)
             if result in outcome.NOT_RUN:
                 history.may_have_run = may_have_run_before
@@ -142,14 +141,6 @@
         An unavailable group refuses requests quickly, so a recovery is
         recorded if the head takes longer than that.
         """
-        request = self._call.fingerprints
-        with self._core.quarantine.waiting(request, connection.close):
-            return await self._read_head_or_recovery(connection)
-
-    async def _read_head_or_recovery(
-        self, connection: http1_client.Connection
-    ) -> http1_client.ResponseHead:
-        """Read the head as :meth:`_read_head` does."""
         if not self._core.outages.is_unavailable(self._endpoint):
             return await connection.read_head()
         loop = asyncio.get_running_loop()
--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -5,7 +5,7 @@
 
 from aspenfold._internal.gateway import call as call_module
 from aspenfold._internal.gateway import directory
-from aspenfold._internal.gateway import endpoint_probe
+from aspenfold._internal.gateway import endpoint_connection
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import quarantine as quarantine_module
@@ -71,10 +71,8 @@
         if self._quarantine.is_held(request):
             # Withdrawn, or one of those that are known to end endpoints.
             return outcome.AttemptResult.ENDED
-        written = None
-        if call.first_output_at is not None:
-            written = lost_at - call.first_output_at
-        if await endpoint_probe.is_listening(endpoint.listing):
+        written = _time_written(call, lost_at)
+        if await endpoint_connection.is_listening(endpoint.listing):
             if written is not None and written >= CRASH_DELAY:
                 self._quarantine.record_answer(request, lost_at)
             elif written is not None:
@@ -120,10 +118,8 @@
         endpoint: directory.Endpoint,
         silent_since: datetime.datetime,
     ) -> None:
-        written = None
-        if call.first_output_at is not None:
-            written = silent_since - call.first_output_at
-        if not await endpoint_probe.is_listening(endpoint.listing):
+        written = _time_written(call, silent_since)
+        if not await endpoint_connection.is_listening(endpoint.listing):
             self._record_end(call, endpoint, written, silent_since)
 
     def _record_end(
@@ -154,3 +150,12 @@
             return
         incarnation = endpoint.listing.incarnation
         self._quarantine.record_crash(incarnation, call.fingerprints, at)
+
+
+def _time_written(
+    call: call_module.Call, until: datetime.datetime
+) -> datetime.timedelta | None:
+    """Return for how long an answer was written, None for no output."""
+    if call.first_output_at is None:
+        return None
+    return until - call.first_output_at
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/endpoint_connection.py
@@ -0,0 +1,25 @@
+"""Connections to endpoints."""
+
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.network import http1_client
+
+CONNECT_TIMEOUT_S = 0.3
+"""Timeout of a connection to an endpoint, in seconds.  A cut link never
+accepts; the longest round trip between zones is 3 ms."""
+
+
+async def connect(listing: directory.Listing) -> http1_client.Connection:
+    """Connect to an endpoint; raises ``http1_client.NotConnected``."""
+    return await http1_client.connect(
+        listing.host, listing.port, CONNECT_TIMEOUT_S
+    )
+
+
+async def is_listening(listing: directory.Listing) -> bool:
+    """Return whether the endpoint accepts a connection; send nothing."""
+    try:
+        connection = await connect(listing)
+    except http1_client.NotConnected:
+        return False
+    connection.close()
+    return True
