Tell in one place whose turn it is, and read stored records once

Whether this gateway comes first for a fingerprint was worked out in two ways, for trials and for writing to the store. What was cleared is kept without the times that nothing read. Behaviour is the same.

--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -100,7 +100,9 @@
             maxlen=MAX_OWN_CRASHES
         )
         self._waiting: dict[RequestFingerprints, abc.Callable[[], None]] = {}
-        self._cleared: dict[Fingerprint, datetime.datetime] = {}
+        self._cleared: collections.deque[Fingerprint] = collections.deque(
+            maxlen=MAX_QUARANTINED
+        )
         self._telling: list[crash_evidence.Crash] = []
         self._telling_version = 0
 
@@ -127,7 +129,7 @@
         for hold in holds:
             hold.seen_at = now
         for hold in holds:
-            if not hold.is_trial_due(now) or not self._makes_trials(hold):
+            if not hold.is_trial_due(now) or self.turn(hold.fingerprint):
                 return hold
         for hold in holds:
             hold.trials += 1
@@ -160,11 +162,15 @@
             if candidate in self._holds and candidate not in request.trials
         ]
 
-    def _makes_trials(self, hold: Hold) -> bool:
-        """Return whether this gateway is the one that makes the trials."""
-        return subset.select(
-            hold.fingerprint, {self._host, *self._peers}, 1
-        ) == [self._host]
+    def turn(self, fingerprint: Fingerprint) -> int:
+        """Return how many gateways come before this one.
+
+        What one of all gateways is to do for a fingerprint is for the first.
+        """
+        mine = subset.score(fingerprint, self._host)
+        return sum(
+            subset.score(fingerprint, peer) > mine for peer in self._peers
+        )
 
     @contextlib.contextmanager
     def waiting(
@@ -257,9 +263,7 @@
         hold = self._holds.get(fingerprint)
         if hold is not None and at > hold.begun_at:
             self._end(hold, reason)
-            self._cleared[fingerprint] = at
-            if len(self._cleared) > MAX_QUARANTINED:
-                del self._cleared[next(iter(self._cleared))]
+            self._cleared.append(fingerprint)
 
     def release(self, fingerprint: Fingerprint, at: datetime.datetime) -> None:
         """End a quarantine that an operator released ``at`` this time."""
@@ -315,7 +319,7 @@
         """Return what to tell peers."""
         crashes = self._telling_crashes(now)
         suspects = {s for crash in crashes for s in crash.suspects}
-        suspects |= self._holds.keys() | self._cleared.keys()
+        suspects.update(self._holds, self._cleared)
         return quarantine_report.Report(
             crashes=tuple(self._crash_report(c, now) for c in crashes),
             answer_ages={
--- a/src/aspenfold/_internal/gateway/quarantine_records.py
+++ b/src/aspenfold/_internal/gateway/quarantine_records.py
@@ -22,7 +22,6 @@
 from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
-from aspenfold._internal.routing import subset
 
 Fingerprint = fingerprints.Fingerprint
 
@@ -80,17 +79,20 @@
         quarantine: quarantine_module.Quarantine,
         clock: clock_module.Clock,
         wall_clock: clock_module.Clock,
-        peers: abc.Callable[[], abc.Collection[str]],
         hears_all_peers: abc.Callable[[], bool],
     ) -> None:
-        """``peers`` returns the hosts of the other gateways alive."""
+        """``host`` is this gateway's.
+
+        ``hears_all_peers`` returns whether all other gateways are heard.
+        """
         self._host = host
         self._quarantine = quarantine
         self._clock = clock
         self._wall_clock = wall_clock
-        self._peers = peers
         self._hears_all_peers = hears_all_peers
         self._stored: dict[str, bytes] = {}
+        self._holds: dict[str, HoldRecord] = {}
+        self._crashes: dict[str, CrashRecord] = {}
         self._crash_slots: dict[str, int] = {}
 
     def snapshot(self) -> tuple[ports.Record, ...]:
@@ -102,25 +104,41 @@
 
     def apply(self, record: ports.Record) -> None:
         """Apply a record whose key has the prefix."""
-        if not record.value:
-            self._stored.pop(record.key, None)
-            return
-        self._stored[record.key] = record.value
         try:
-            if record.key.startswith(HOLD_PREFIX):
-                name = record.key.removeprefix(HOLD_PREFIX)
-                self._apply_hold(Fingerprint(name), record.value)
-            elif record.key.startswith(CRASH_PREFIX):
-                self._apply_crash(record.value)
+            self._keep(record.key, record.value or b'')
         except ValueError as exc:
             events.emit(
                 events.Event.RECORD_REJECTED,
                 offset=record.offset,
                 error=str(exc)[:200],
             )
-
-    def _apply_hold(self, fingerprint: Fingerprint, value: bytes) -> None:
-        record = HoldRecord.model_validate_json(value)
+            return
+        hold = self._holds.get(record.key)
+        if hold is not None:
+            self._apply_hold(_fingerprint_of(record.key), hold)
+        crash = self._crashes.get(record.key)
+        if crash is not None:
+            self._apply_crash(crash)
+
+    def _keep(self, key: str, value: bytes) -> None:
+        """Keep a record; raises ValueError if it can't be read.
+
+        Its bytes are kept in any case, for followers.
+        """
+        self._holds.pop(key, None)
+        self._crashes.pop(key, None)
+        if not value:
+            self._stored.pop(key, None)
+            return
+        self._stored[key] = value
+        if key.startswith(HOLD_PREFIX):
+            self._holds[key] = HoldRecord.model_validate_json(value)
+        elif key.startswith(CRASH_PREFIX):
+            self._crashes[key] = CrashRecord.model_validate_json(value)
+
+    def _apply_hold(
+        self, fingerprint: Fingerprint, record: HoldRecord
+    ) -> None:
         now = self._clock.now()
         if record.released_ms is not None:
             released_at = now - self._age(record.released_ms)
@@ -135,8 +153,7 @@
         report = quarantine_report.Report(holds={fingerprint: hold})
         self._quarantine.receive('the store', report, now)
 
-    def _apply_crash(self, value: bytes) -> None:
-        record = CrashRecord.model_validate_json(value)
+    def _apply_crash(self, record: CrashRecord) -> None:
         crash = quarantine_report.CrashReport(
             incarnation=record.incarnation,
             age=self._age(record.at_ms),
@@ -162,7 +179,7 @@
             try:
                 for key, value in self.due():
                     await put(key, value)
-                    self._stored[key] = value
+                    self._keep(key, value)
             except ports.StoreUnavailable as exc:
                 events.emit(
                     events.Event.QUARANTINE_NOT_STORED, error=str(exc)[:200]
@@ -183,7 +200,7 @@
             if now - hold.begun_at < self._turn(hold.fingerprint):
                 continue
             seen_ms = self._unix_ms(hold.seen_at)
-            stored = self._stored_hold(key)
+            stored = self._holds.get(key)
             if stored is not None and not self._is_outdated(
                 stored, hold, seen_ms
             ):
@@ -206,33 +223,16 @@
 
     def _turn(self, fingerprint: Fingerprint) -> datetime.timedelta:
         """Return when it is this gateway's turn to write of a fingerprint."""
-        mine = subset.score(fingerprint, self._host)
-        before = sum(
-            subset.score(fingerprint, peer) > mine for peer in self._peers()
-        )
-        return before * TURN_DURATION
-
-    def _stored_hold(self, key: str) -> HoldRecord | None:
-        value = self._stored.get(key)
-        if value is None:
-            return None
-        try:
-            return HoldRecord.model_validate_json(value)
-        except ValueError:
-            # It was logged when it was read; write a valid one.
-            return None
+        return self._quarantine.turn(fingerprint) * TURN_DURATION
 
     def _due_removals(self) -> abc.Iterator[tuple[str, bytes]]:
         """Yield the keys of records that matter no more."""
         idle_ms = quarantine_module.IDLE_DURATION // clock_module.MILLISECOND
         now_ms = clock_module.to_unix_ms(self._wall_clock.now())
-        for key in [k for k in self._stored if k.startswith(HOLD_PREFIX)]:
-            record = self._stored_hold(key)
-            if record is None:
-                continue
+        for key, record in self._holds.items():
             last_ms = max(record.seen_ms, record.released_ms or 0)
-            fingerprint = Fingerprint(key.removeprefix(HOLD_PREFIX))
-            turn_ms = self._turn(fingerprint) // clock_module.MILLISECOND
+            turn = self._turn(_fingerprint_of(key))
+            turn_ms = turn // clock_module.MILLISECOND
             if now_ms - last_ms > 2 * idle_ms + turn_ms:
                 yield key, b''
 
@@ -255,17 +255,15 @@
 
     def _is_stored(self, key: str, record: CrashRecord) -> bool:
         """Return whether a record has at least the suspects of ``record``."""
-        value = self._stored.get(key)
-        if value is None:
-            return False
-        try:
-            stored = CrashRecord.model_validate_json(value)
-        except ValueError:
-            # It was logged when it was read; write a valid one.
+        stored = self._crashes.get(key)
+        if stored is None or stored.incarnation != record.incarnation:
             return False
-        return stored.incarnation == record.incarnation and set(
-            record.suspects
-        ) <= set(stored.suspects)
+        return set(record.suspects) <= set(stored.suspects)
+
+
+def _fingerprint_of(key: str) -> Fingerprint:
+    """Return the fingerprint whose quarantine is under a key."""
+    return Fingerprint(key.removeprefix(HOLD_PREFIX))
 
 
 def parse_holds(page: ports.Page) -> dict[Fingerprint, HoldRecord]:
@@ -274,7 +272,7 @@
     for record in page.records:
         if not record.value or not record.key.startswith(HOLD_PREFIX):
             continue
-        name = Fingerprint(record.key.removeprefix(HOLD_PREFIX))
+        name = _fingerprint_of(record.key)
         try:
             found[name] = HoldRecord.model_validate_json(record.value)
         except ValueError:
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -121,7 +121,6 @@
             quarantine=self._core.quarantine,
             clock=clock,
             wall_clock=clock_module.SystemClock(),
-            peers=lambda: self._peers.zones,
             hears_all_peers=self._peers.hears_all,
         )
         self._peer_discovery = peer_discovery_module.PeerDiscovery(
