Share digests, table rows and a plainer search of a trace

The digest of prompt parts and of whole requests is made by one module, the operators' commands use the row type that the others have, and trace no longer compares each line with all that it found. Behaviour is the same.

--- a/src/aspenfold/_internal/commands/quarantines.py
+++ b/src/aspenfold/_internal/commands/quarantines.py
@@ -15,9 +15,6 @@
 
 Holds = dict[Fingerprint, quarantine_records.HoldRecord]
 
-Row = dict[str, object]
-"""A line of a table: a value for each column name."""
-
 
 async def read_holds(platform: ports.Platform) -> Holds:
     """Return the quarantines in the store, released ones too."""
@@ -51,7 +48,9 @@
         return exit_status.ExitStatus.OK
 
 
-def _row(fingerprint: Fingerprint, hold: quarantine_records.HoldRecord) -> Row:
+def _row(
+    fingerprint: Fingerprint, hold: quarantine_records.HoldRecord
+) -> output.Row:
     kind = 'request' if fingerprints.is_request(fingerprint) else 'part'
     released = ''
     if hold.released_ms is not None:
--- a/src/aspenfold/_internal/commands/trace.py
+++ b/src/aspenfold/_internal/commands/trace.py
@@ -77,15 +77,17 @@
     """
     lines = list(lines)
     matching = [x for x in lines if x.fields.get('call') == request_id]
-    held = {x.fields['fingerprint'] for x in matching if _is_kept(x)}
-    matching += [x for x in lines if x not in matching and _is_about(x, held)]
+    held = {
+        x.fields['fingerprint'] for x in matching if 'fingerprint' in x.fields
+    }
+    matching += [
+        x
+        for x in lines
+        if x.fields.get('call') != request_id and _is_about(x, held)
+    ]
     return sorted(matching, key=lambda x: float(x.fields.get('timestamp', 0)))
 
 
-def _is_kept(line: LogLine) -> bool:
-    return 'fingerprint' in line.fields
-
-
 def _is_about(line: LogLine, held: set[str]) -> bool:
     """Return whether a line is about crashes or quarantines of ``held``."""
     suspects = line.fields.get('fingerprints', ())
--- a/src/aspenfold/_internal/gateway/fingerprints.py
+++ b/src/aspenfold/_internal/gateway/fingerprints.py
@@ -5,11 +5,10 @@
 digests leave this module.
 """
 
-import base64
 import functools
-import hashlib
 import typing
 
+from aspenfold._internal.gateway import digests
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.network import http1_server
@@ -20,8 +19,6 @@
 PART_KIND = 'p'
 REQUEST_KIND = 'r'
 
-DIGEST_BYTES = 8
-
 
 def of_part(part: str) -> Fingerprint:
     """Return the fingerprint of a prompt's part with this digest."""
@@ -57,7 +54,7 @@
         """The fingerprint of the whole request."""
         request = self._request
         prompt = (*self._prompt.shared, self._prompt.own)
-        value = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        value = digests.create()
         fields = (
             self._organisation.encode(),
             request.method,
@@ -68,8 +65,7 @@
         for field in fields:
             value.update(b'%d:' % len(field))
             value.update(field)
-        encoded = base64.urlsafe_b64encode(value.digest()).rstrip(b'=')
-        return Fingerprint(REQUEST_KIND + encoded.decode())
+        return Fingerprint(REQUEST_KIND + digests.encode(value))
 
     def all(self) -> tuple[Fingerprint, ...]:
         """Return all fingerprints, that of the whole request first."""
--- a/src/aspenfold/_internal/gateway/prompt_parts.py
+++ b/src/aspenfold/_internal/gateway/prompt_parts.py
@@ -6,15 +6,12 @@
 to other gateways.
 """
 
-import base64
 import dataclasses
-import hashlib
 import re
 
+from aspenfold._internal.gateway import digests
 from aspenfold._internal.network import http1_server
 
-DIGEST_BYTES = 8
-
 ENTRY = re.compile(rb'\s*([0-9a-f]{1,128})\s*(?::\s*\d+\s*)?', re.IGNORECASE)
 
 
@@ -56,5 +53,4 @@
 
 def digest(part_id: bytes) -> str:
     """Return the digest of a part's id, which may be in either case."""
-    value = hashlib.blake2b(part_id.lower(), digest_size=DIGEST_BYTES)
-    return base64.urlsafe_b64encode(value.digest()).rstrip(b'=').decode()
+    return digests.encode(digests.create(part_id.lower()))
