Bound the times and slots of quarantine records

A record with an absurd time was a valid one, and its age raised an error that would have ended the task that finds the other gateways. Times are bounded where records are read; such a record is rejected with a log line as any other that can't be read. The slots of crashes were remembered for as long as the process ran; the latest eight are.

test_a_record_of_an_absurd_time_is_no_error (both cases) and test_crashes_of_any_number_take_a_few_slots failed before. Found on reading the change again; no run has shown either.

--- a/src/aspenfold/_internal/gateway/quarantine_records.py
+++ b/src/aspenfold/_internal/gateway/quarantine_records.py
@@ -13,6 +13,7 @@
 import asyncio
 from collections import abc
 import datetime
+import typing
 
 import pydantic
 
@@ -29,7 +30,7 @@
 HOLD_PREFIX = f'{KEY_PREFIX}hold/'
 CRASH_PREFIX = f'{KEY_PREFIX}crash/'
 
-CRASH_SLOTS = 8
+CRASH_SLOTS = quarantine_module.MAX_OWN_CRASHES
 """Crashes that one gateway keeps in the store, the latest ones."""
 
 POLL_INTERVAL_S = 0.2
@@ -45,16 +46,22 @@
 """How often to write when the last request of a quarantine came."""
 
 
+MAX_UNIX_MS = 253_402_300_799_000
+"""The end of the year 9999, the last that times can have."""
+
+UnixMs = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_UNIX_MS)]
+
+
 class HoldRecord(pydantic.BaseModel):
     """A quarantine, or its release by an operator; Unix milliseconds."""
 
     model_config = pydantic.ConfigDict(frozen=True)
 
-    begun_ms: int = 0
-    seen_ms: int = 0
+    begun_ms: UnixMs = 0
+    seen_ms: UnixMs = 0
     crashes: int = 0
     trials: int = 0
-    released_ms: int | None = None
+    released_ms: UnixMs | None = None
 
 
 class CrashRecord(pydantic.BaseModel):
@@ -63,7 +70,7 @@
     model_config = pydantic.ConfigDict(frozen=True)
 
     incarnation: str
-    at_ms: int
+    at_ms: UnixMs
     suspects: tuple[str, ...]
 
 
@@ -241,10 +248,7 @@
             suspects = self._quarantine.unanswered(crash)
             if not suspects:
                 continue
-            slot = self._crash_slots.setdefault(
-                crash.incarnation, len(self._crash_slots)
-            )
-            key = f'{CRASH_PREFIX}{self._host}/{slot % CRASH_SLOTS}'
+            key = f'{CRASH_PREFIX}{self._host}/{self._slot(crash.incarnation)}'
             record = CrashRecord(
                 incarnation=crash.incarnation,
                 at_ms=self._unix_ms(crash.at),
@@ -253,6 +257,17 @@
             if not self._is_stored(key, record):
                 yield key, record.model_dump_json().encode()
 
+    def _slot(self, incarnation: str) -> int:
+        """Return the slot of a crash, that of the oldest one for a new one."""
+        slot = self._crash_slots.get(incarnation)
+        if slot is not None:
+            return slot
+        slot = len(self._crash_slots)
+        if slot == CRASH_SLOTS:
+            slot = self._crash_slots.pop(next(iter(self._crash_slots)))
+        self._crash_slots[incarnation] = slot
+        return slot
+
     def _is_stored(self, key: str, record: CrashRecord) -> bool:
         """Return whether a record has at least the suspects of ``record``."""
         stored = self._crashes.get(key)
