Drop events of earlier tests when a test records its own

test_the_end_of_a_response_is_logged_and_counted failed in a run of chosen files, and in each run behind test_gateway_crashes.py: the first destination of a process gets what eliot has kept since its start.

--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -254,6 +254,8 @@
     """Yield a list that gets each log event of the test process."""
     lines: list[dict[str, typing.Any]] = []
     eliot.add_destinations(lines.append)
+    # The first destination of a process gets what was logged before.
+    lines.clear()
     try:
         yield lines
     finally:
