Share what tests and stand-ins wrote again

Endpoints that crash on requests had two mechanisms, a script that falls through to another one and a hook of the soak; the hook serves both.

--- a/standins/aspenfold_standins/http11.py
+++ b/standins/aspenfold_standins/http11.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import time
+import typing
 
 import h11
 
@@ -70,6 +71,19 @@
 
 PORT_RETRY_S = 0.1
 
+Listener = typing.TypeVar('Listener')
+
+
+async def listen_again(
+    listen: abc.Callable[[], abc.Awaitable[Listener]],
+) -> Listener:
+    """Listen on a port as before, once no connection of this host has it."""
+    while True:
+        try:
+            return await listen()
+        except OSError:
+            await asyncio.sleep(PORT_RETRY_S)
+
 
 class Server:
     """Reads complete requests and passes each to ``handler``."""
@@ -90,14 +104,7 @@
 
     async def start_again(self) -> None:
         """Listen on the same port as before, once no connection has it."""
-        while True:
-            try:
-                await self.start(self.port)
-            except OSError:
-                # A connection of this host got the port meanwhile.
-                await asyncio.sleep(PORT_RETRY_S)
-            else:
-                return
+        await listen_again(lambda: self.start(self.port))
 
     def stop_listening(self) -> None:
         """Accept no more connections; those that are open stay."""
--- a/standins/aspenfold_standins/platform_worker.py
+++ b/standins/aspenfold_standins/platform_worker.py
@@ -175,6 +175,18 @@
             raise
 
 
+EVENT_STREAM = 'content-type: text/event-stream'
+
+
+def response_head(
+    worker: Worker, exchange: http11.Exchange, *lines: str
+) -> bytes:
+    """Return the head of a 200 with the worker's headers and ``lines``."""
+    headers = worker.response_headers(exchange)
+    stated = [f'{name}: {value}' for name, value in headers.items()]
+    return '\r\n'.join(['HTTP/1.1 200 OK', *stated, *lines, '', '']).encode()
+
+
 async def complete(worker: Worker, exchange: http11.Exchange) -> None:
     """Execute, then send a complete response."""
     worker.record_execution(exchange)
@@ -184,11 +196,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CrashOn:
-    """A script that crashes the endpoint as it begins certain answers.
+    """Crashes the endpoint as it begins certain answers.
 
     These are answers to requests whose prompt has the ``part``, but not as
     its last one, or that have the ``body``.  ``events`` of a stream are sent
-    before.  Others are answered by ``otherwise``.
+    before.
     """
 
     part: str = ''
@@ -196,15 +208,11 @@
     events: int = 0
     down_s: float = 1.5
     silently: bool = False
-    otherwise: Script
 
     async def __call__(
         self, worker: Worker, exchange: http11.Exchange
     ) -> None:
-        """Crash or respond."""
-        if not self.is_fatal(exchange.request):
-            await self.otherwise(worker, exchange)
-            return
+        """Crash, after the events."""
         if self.events:
             await _send_events(worker, exchange, self.events)
         else:
@@ -269,18 +277,15 @@
 async def truncated_body(worker: Worker, exchange: http11.Exchange) -> None:
     """Execute, then close the connection in the middle of the body."""
     worker.record_execution(exchange)
-    lines = [f'{n}: {v}' for n, v in worker.response_headers(exchange).items()]
-    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, 'content-length: 50'])
-    await exchange.write(head.encode() + b'\r\n\r\nhalf')
+    head = response_head(worker, exchange, 'content-length: 50')
+    await exchange.write(head + b'half')
     exchange.close()
 
 
 async def no_content_length(worker: Worker, exchange: http11.Exchange) -> None:
     """Execute, then respond without a content length."""
     worker.record_execution(exchange)
-    lines = [f'{n}: {v}' for n, v in worker.response_headers(exchange).items()]
-    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines])
-    await exchange.write(head.encode() + b'\r\n\r\nno length')
+    await exchange.write(response_head(worker, exchange) + b'no length')
     exchange.close()
 
 
@@ -289,9 +294,7 @@
 ) -> None:
     """Execute, then reset a response without a content length."""
     worker.record_execution(exchange)
-    lines = [f'{n}: {v}' for n, v in worker.response_headers(exchange).items()]
-    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines])
-    await exchange.write(head.encode() + b'\r\n\r\nno len')
+    await exchange.write(response_head(worker, exchange) + b'no len')
     await asyncio.sleep(0.05)
     exchange.reset()
 
@@ -339,10 +342,10 @@
     worker: Worker, exchange: http11.Exchange, last: int
 ) -> None:
     worker.record_execution(exchange)
-    lines = [f'{n}: {v}' for n, v in worker.response_headers(exchange).items()]
-    lines += ['content-type: text/event-stream', 'transfer-encoding: chunked']
-    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines])
-    await exchange.write(head.encode() + b'\r\n\r\n')
+    head = response_head(
+        worker, exchange, EVENT_STREAM, 'transfer-encoding: chunked'
+    )
+    await exchange.write(head)
     after = int(exchange.request.headers.get('last-event-id', '0'))
     for number in range(after + 1, last + 1):
         data = event_bytes(number)
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -536,10 +536,8 @@
 ) -> None:
     """Send one event and start another that never ends."""
     worker.record_execution(exchange)
-    lines = [f'{n}: {v}' for n, v in worker.response_headers(exchange).items()]
-    lines += ['content-type: text/event-stream']
-    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines])
-    await exchange.write(head.encode() + b'\r\n\r\n' + workers.event_bytes(1))
+    head = workers.response_head(worker, exchange, workers.EVENT_STREAM)
+    await exchange.write(head + workers.event_bytes(1))
     for _ in range(4 * event_splitter.MAX_EVENT_BYTES // ENDLESS_PART):
         await exchange.write(b'x' * ENDLESS_PART)
     await asyncio.Event().wait()
--- a/tests/functional/test_gateway_crashes.py
+++ b/tests/functional/test_gateway_crashes.py
@@ -93,12 +93,13 @@
 
 async def run_play() -> Play:
     """Send sound requests, and after a while bad ones beside them."""
-    crash = workers.CrashOn(part=BAD_PART, otherwise=workers.stream_events)
+    crash = workers.CrashOn(part=BAD_PART)
     async with gateway_set.running_gateways(GATEWAYS) as gateways:
         for number in range(2, ENDPOINTS + 1):
             await gateways.rig.add_worker(f'w-{number}')
         for worker in gateways.rig.workers:
-            worker.script = crash
+            worker.script = workers.stream_events
+            worker.fatal = crash
             worker.event_interval_s = 0.02
         await rigs.wait_until(
             lambda: all(p.endpoints == ENDPOINTS for p in gateways.processes)
@@ -159,11 +160,9 @@
 
     async def run() -> None:
         async with rigs.running_rig() as rig:
-            crash = workers.CrashOn(
-                part=BAD_PART, events=2, otherwise=workers.stream_events
-            )
+            crash = workers.CrashOn(part=BAD_PART, events=2)
             for name in ('w-1', 'w-2', 'w-3'):
-                await rig.add_worker(name, crash)
+                await rig.add_worker(name, workers.stream_events, fatal=crash)
             await rigs.wait_until(lambda: rig.gateway.endpoints == 3)
             await rig.wait_until_ready()
             header = parts_header(COMMON_PART, BAD_PART, '1')
@@ -180,11 +179,11 @@
 
     async def run() -> None:
         async with gateway_set.running_gateways(GATEWAYS) as gateways:
-            crash = workers.CrashOn(body=body, otherwise=workers.complete)
+            crash = workers.CrashOn(body=body)
             for number in range(2, ENDPOINTS + 1):
                 await gateways.rig.add_worker(f'w-{number}')
             for worker in gateways.rig.workers:
-                worker.script = crash
+                worker.fatal = crash
             await rigs.wait_until(
                 lambda: all(
                     p.endpoints == ENDPOINTS for p in gateways.processes
@@ -223,12 +222,10 @@
 
     async def run() -> None:
         async with rigs.running_rig() as rig:
-            crash = workers.CrashOn(
-                part=BAD_PART, otherwise=workers.stream_events
-            )
+            crash = workers.CrashOn(part=BAD_PART)
             names = [f'w-{number}' for number in range(8)]
             for name in names:
-                await rig.add_worker(name, crash)
+                await rig.add_worker(name, workers.stream_events, fatal=crash)
             await rigs.wait_until(lambda: rig.gateway.endpoints == len(names))
             await rig.wait_until_ready()
             sound = parts_header(*(p for p in parts if p != BAD_PART))
@@ -255,11 +252,11 @@
             header = parts_header(BAD_PART, '1')
             waiting = asyncio.create_task(rig.request('/stream/', **header))
             await rigs.wait_until(lambda: slow.requests)
-            crash = workers.CrashOn(
-                part=BAD_PART, down_s=9.0, otherwise=workers.stream_events
-            )
+            crash = workers.CrashOn(part=BAD_PART, down_s=9.0)
             crashing = [
-                await rig.add_worker(f'w-{number}', crash)
+                await rig.add_worker(
+                    f'w-{number}', workers.stream_events, fatal=crash
+                )
                 for number in range(2)
             ]
             await rigs.wait_until(lambda: rig.gateway.endpoints == 3)
@@ -283,7 +280,8 @@
     for number in range(2, 7):
         await gateways.rig.add_worker(f'w-{number}')
     for worker in gateways.rig.workers:
-        worker.script = crash
+        worker.script = workers.stream_events
+        worker.fatal = crash
     await rigs.wait_until(
         lambda: all(p.endpoints == 6 for p in gateways.processes)
     )
@@ -307,7 +305,7 @@
 
 def test_a_quarantine_outlasts_all_gateways() -> None:
     """The store keeps it; a new one learns it before it may send."""
-    crash = workers.CrashOn(part=BAD_PART, otherwise=workers.stream_events)
+    crash = workers.CrashOn(part=BAD_PART)
 
     async def run() -> None:
         async with gateway_set.running_gateways(GATEWAYS) as gateways:
@@ -328,7 +326,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Two of them have seen one crash each."""
-    crash = workers.CrashOn(part=BAD_PART, otherwise=workers.stream_events)
+    crash = workers.CrashOn(part=BAD_PART)
     monkeypatch.setattr(peers.Peers, 'receive', lambda *_: None)
 
     async def run() -> None:
@@ -346,7 +344,7 @@
 
 def test_an_operator_lists_and_releases_a_quarantine() -> None:
     """Once the endpoints are mended, such requests are served again."""
-    crash = workers.CrashOn(part=BAD_PART, otherwise=workers.stream_events)
+    crash = workers.CrashOn(part=BAD_PART)
 
     async def run() -> None:
         async with gateway_set.running_gateways(GATEWAYS) as gateways:
@@ -364,7 +362,7 @@
             assert row['crashes'] == 2
             assert row['kind'] == 'part'
             for worker in seen:
-                worker.script = workers.stream_events
+                worker.fatal = None
             name = str(row['fingerprint'])
             status, _, _ = await plan_program.run(port, 'release', name)
             assert status == exit_status.ExitStatus.OK
@@ -386,14 +384,12 @@
     async def run() -> None:
         async with rigs.running_rig() as rig:
             crash = workers.CrashOn(
-                part=BAD_PART,
-                events=events,
-                down_s=9.0,
-                silently=True,
-                otherwise=workers.stream_events,
+                part=BAD_PART, events=events, down_s=9.0, silently=True
             )
             for number in range(4):
-                await rig.add_worker(f'w-{number}', crash)
+                await rig.add_worker(
+                    f'w-{number}', workers.stream_events, fatal=crash
+                )
             await rigs.wait_until(lambda: rig.gateway.endpoints == 4)
             await rig.wait_until_ready()
             header = parts_header(BAD_PART, '1')
@@ -424,13 +420,11 @@
             for number in itertools.count():
                 part = f'c{number:x}'
                 header = parts_header(part, '1')
-                first.script = workers.stream_events
+                first.fatal = None
                 answer = await gateways.request(2, '/stream/', **header)
                 assert answer.status == 200
                 # It crashes for any reason, here on the part.
-                first.script = workers.CrashOn(
-                    part=part, otherwise=workers.stream_events
-                )
+                first.fatal = workers.CrashOn(part=part)
                 response = await gateways.request(1, '/stream/', **header)
                 assert response.status == 200
                 if first.crashes:
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -136,10 +136,12 @@
         name: str,
         script: platform_worker.Script = platform_worker.complete,
         service: str = 'plain',
+        fatal: platform_worker.FatalRequests | None = None,
     ) -> platform_worker.Worker:
         """Start an endpoint and write its record to the store."""
         worker = platform_worker.Worker(name)
         worker.script = script
+        worker.fatal = fatal
         await worker.start()
         self.workers.append(worker)
         await self.store.put(
--- a/tests/lib/simulated_crashes.py
+++ b/tests/lib/simulated_crashes.py
@@ -18,6 +18,7 @@
 from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import http1_server
+from tests.lib import peer_updates
 
 SECOND = datetime.timedelta(seconds=1)
 TICK = 25 * clock.MILLISECOND
@@ -326,22 +327,7 @@
 
 def shorten(report: quarantine_report.Report) -> quarantine_report.Report:
     """Return what of a report arrives in one datagram."""
-    encoded = peer_update.encode(
-        peer_update.PeerUpdate(
-            host='front-zone-a-1',
-            incarnation='0011aabb',
-            sequence=99_999,
-            in_flight_counts={},
-            plan_offset=9_999,
-            token=0,
-            slowdowns={},
-            zone='zone-a',
-            is_reader=True,
-            recovery_ages={},
-            rate_reports={},
-            quarantine=report,
-        )
-    )
+    encoded = peer_update.encode(peer_updates.make_update(quarantine=report))
     assert encoded.data is not None
     return peer_update.decode(encoded.data).quarantine
 
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -119,13 +119,10 @@
             self.arrivals.append((exchange.request.arrived_at, process))
         worker.record_execution(exchange)
         if self._rng.random() < HEAD_FRACTION:
-            lines = [
-                f'{n}: {v}'
-                for n, v in worker.response_headers(exchange).items()
-            ]
-            lines.append('content-type: text/event-stream')
-            head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, '', ''])
-            await exchange.write(head.encode())
+            head = platform_worker.response_head(
+                worker, exchange, platform_worker.EVENT_STREAM
+            )
+            await exchange.write(head)
         for endpoint in self._system.endpoints:
             if endpoint.worker is worker and endpoint not in self._down:
                 self._start(self._crash(endpoint))
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -66,16 +66,11 @@
         """Reset every connection, and listen again after ``down_s``."""
         await self.stop()
         await asyncio.sleep(down_s)
-        while True:
-            try:
-                self._server = await asyncio.start_server(
-                    self._serve, self.listen_host, self.port
-                )
-            except OSError:
-                # A connection of this host got the port meanwhile.
-                await asyncio.sleep(http11.PORT_RETRY_S)
-            else:
-                return
+        self._server = await http11.listen_again(
+            lambda: asyncio.start_server(
+                self._serve, self.listen_host, self.port
+            )
+        )
 
     def start_fault(self, fault: LinkFault) -> None:
         """Apply a fault until ``end_fault``."""
--- a/tests/unit/test_peer_update.py
+++ b/tests/unit/test_peer_update.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import pytest
+from tests.lib import peer_updates
 
 from aspenfold._internal.gateway import peer_update
 from aspenfold._internal.gateway import rate_limits
@@ -15,16 +16,9 @@
     counts: dict[str, int], reports: dict[str, rate_limits.Report]
 ) -> peer_update.PeerUpdate:
     """Return an update with these counts and reports."""
-    return peer_update.PeerUpdate(
-        host='front-zone-a-1',
-        incarnation='0011aabb',
-        sequence=7,
+    return peer_updates.make_update(
         in_flight_counts=counts,
-        plan_offset=12,
-        token=3,
         slowdowns={'i-0011223344': 2.5},
-        zone='zone-a',
-        is_reader=True,
         recovery_ages={'s/g': 20 * clock.MILLISECOND},
         rate_reports=reports,
     )
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import pytest
+from tests.lib import peer_updates
 
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import fingerprints
@@ -326,32 +327,15 @@
 )
 
 
-def update_with(
-    report: quarantine_report.Report, counts: dict[str, int]
-) -> peer_update.PeerUpdate:
-    """Return an update of a peer."""
-    return peer_update.PeerUpdate(
-        host='front-zone-a-1',
-        incarnation='0011aabb',
-        sequence=7,
-        in_flight_counts=counts,
-        plan_offset=12,
-        token=3,
-        slowdowns={},
-        zone='zone-a',
-        is_reader=True,
-        recovery_ages={},
-        rate_reports={},
-        quarantine=report,
-    )
-
-
 @hypothesis.given(REPORTS, st.dictionaries(NAMES, st.integers(1, 9)))
 def test_an_update_fits_with_any_report(
     report: quarantine_report.Report, counts: dict[str, int]
 ) -> None:
     """What is in quarantine is left out last."""
-    encoded = peer_update.encode(update_with(report, counts))
+    update = peer_updates.make_update(
+        in_flight_counts=counts, quarantine=report
+    )
+    encoded = peer_update.encode(update)
     assert encoded.data is not None
     assert len(encoded.data) <= peer_update.MAX_DATAGRAM_BYTES
     decoded = peer_update.decode(encoded.data).quarantine
