--- /dev/null
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the cases of the review share."""
--- /dev/null
+++ b/review/lib/case.py
@@ -0,0 +1,68 @@
+"""The frame of a case: its record, and its exit status."""
+
+import asyncio
+from collections import abc
+import os
+import pathlib
+import sys
+import tempfile
+import time
+import traceback
+
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+
+TIME_LIMIT_S = 115.0
+
+
+class CannotRun(Exception):
+    """The case could not run, so that it shows nothing."""
+
+
+class Record:
+    """The file ``record.txt`` of a case, with times from its start."""
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        self._file = (folder / 'record.txt').open('w')
+        self._started_at = time.monotonic()
+
+    def add(self, text: str) -> None:
+        """Write a line."""
+        elapsed = time.monotonic() - self._started_at
+        self._file.write(f'{elapsed:8.3f}  {text}\n')
+        self._file.flush()
+
+
+Play = abc.Callable[
+    [Record, pathlib.Path, bool], abc.Coroutine[None, None, bool]
+]
+
+
+def run(folder: pathlib.Path, play: Play) -> None:
+    """Play a case, and exit with its status.
+
+    ``play`` gets the record, a temporary folder and whether to make the
+    disruption.  It returns whether the rule held.
+    """
+    record = Record(folder=folder)
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    record.add('with the disruption' if trouble else 'without disruption')
+    status = NOT_RUN
+    try:
+        with tempfile.TemporaryDirectory() as temporary:
+            held = asyncio.run(
+                _play(play, record, pathlib.Path(temporary), trouble)
+            )
+        status = HELD if held else BROKEN
+    except CannotRun as exc:
+        record.add(f'the case could not run: {exc}')
+    except Exception:
+        record.add(f'the case could not run: {traceback.format_exc()}')
+    record.add(('the rule held', 'THE RULE WAS BROKEN', 'not run')[status])
+    sys.exit(status)
+
+
+async def _play(
+    play: Play, record: Record, folder: pathlib.Path, trouble: bool
+) -> bool:
+    async with asyncio.timeout(TIME_LIMIT_S):
+        return await play(record, folder, trouble)
