--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -29,7 +29,8 @@
     """An endpoint that registers itself in the store.
 
     ``script`` answers what is meant for this endpoint; ``runs`` has the ids
-    of the requests that it ran, in order.
+    of the requests that it ran, in order.  Unless it ``is_up`` it does not
+    register itself.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
     ) -> None:
         self.name = name
         self.runs: list[str] = []
+        self.is_up = True
         self.server = http11.Server(host=host, handler=self._handle)
         self._service = service
         self._zone = zone
@@ -92,8 +94,8 @@
         await self._store.put('keyed.servers', self.name, entry)
 
     async def keep_registered(self) -> None:
-        """Write the entry at each heartbeat, until cancelled."""
-        while True:
+        """Write the entry at each heartbeat while the endpoint is up."""
+        while self.is_up:
             await self.register()
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -154,31 +156,25 @@
 
 
 class Deployment:
-    """The store, the endpoints and the programs of one case.
+    """The store, the endpoints and the gateways of one case.
 
-    Each gateway has a loopback address of its own, as each rank host has.
+    Each gateway has a loopback address of its own.
     """
 
-    def __init__(
-        self, *, folder: pathlib.Path, gateway_count: int, rank_count: int = 0
-    ) -> None:
+    def __init__(self, *, folder: pathlib.Path, gateway_count: int) -> None:
         network = programs.loopback_network()
         self.platform_host = f'{network}.1'
         self.gateway_hosts = [
             f'{network}.{10 + n}' for n in range(gateway_count)
         ]
-        self.rank_hosts = [f'{network}.{100 + n}' for n in range(rank_count)]
         self.store = store_module.Store(host=self.platform_host)
         self.endpoints: list[Endpoint] = []
         self.gateways: list[programs.Program] = []
-        self.agents: list[programs.Program] = []
         self.front_addresses: list[str] = []
         self.ready_addresses: list[str] = []
         self._folder = folder
         self._tasks: set[asyncio.Task[typing.Any]] = set()
-        self._internal_ports = programs.free_port_range(
-            [*self.gateway_hosts, *self.rank_hosts], 2
-        )
+        self._internal_ports = programs.free_port_range(self.gateway_hosts, 2)
 
     async def start_store(self, config: dict[str, object]) -> None:
         """Start the store with a first configuration."""
@@ -265,9 +261,9 @@
         await programs.wait_until_ready(self.ready_addresses)
 
     async def stop(self) -> None:
-        """End all programs, tasks and servers."""
-        for program in [*self.gateways, *self.agents]:
-            await program.stop()
+        """End all gateways, tasks and servers."""
+        for gateway in self.gateways:
+            await gateway.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/review/lib/http11.py
+++ b/review/lib/http11.py
@@ -70,10 +70,14 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
-    async def stop(self) -> None:
-        """Stop listening and reset every connection."""
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open stay."""
         if self._server is not None:
             self._server.close()
+
+    async def stop(self) -> None:
+        """Stop listening and reset every connection."""
+        self.stop_listening()
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/review/lib/programs.py
+++ b/review/lib/programs.py
@@ -18,8 +18,6 @@
 
 READY_TIMEOUT_S = 20.0
 
-SERVED_BY_SIDE = 'app'
-
 
 def loopback_network() -> str:
     """Return the first three numbers of unused loopback addresses.
@@ -111,20 +109,6 @@
         """The exit status, None while the process runs."""
         return None if self._process is None else self._process.returncode
 
-    def private_memory_mb(self) -> float:
-        """Return the memory that only this process has, 0 without one."""
-        process = self._process
-        if process is None or process.returncode is not None:
-            return 0.0
-        path = pathlib.Path(f'/proc/{process.pid}/smaps_rollup')
-        try:
-            lines = path.read_text().splitlines()
-        except OSError:
-            # The process has just ended.
-            return 0.0
-        private = [x.split() for x in lines if x.startswith('Private_')]
-        return sum(int(fields[1]) for fields in private) / 1024
-
     async def wait(self) -> int:
         """Wait for the end of the process; return its exit status."""
         assert self._process is not None
