--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -4,6 +4,7 @@
 from collections import abc
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -55,7 +56,7 @@
         status = HELD if held else BROKEN
     except CannotRun as exc:
         record.add(f'the case could not run: {exc}')
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.add(f'the case could not run: {traceback.format_exc()}')
     record.add(('the rule held', 'THE RULE WAS BROKEN', 'not run')[status])
     sys.exit(status)
@@ -64,5 +65,10 @@
 async def _play(
     play: Play, record: Record, folder: pathlib.Path, trouble: bool
 ) -> bool:
+    task = asyncio.current_task()
+    assert task is not None
+    # The programs are ended also if the case is.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     async with asyncio.timeout(TIME_LIMIT_S):
         return await play(record, folder, trouble)
