--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -20,10 +20,10 @@
 
 
 class Record:
-    """The file ``record.txt`` of a case, with times from its start."""
+    """The file in which a case writes what it saw, with times."""
 
-    def __init__(self, *, folder: pathlib.Path) -> None:
-        self._file = (folder / 'record.txt').open('w')
+    def __init__(self, *, path: pathlib.Path) -> None:
+        self._file = path.open('w')
         self._started_at = time.monotonic()
 
     def add(self, text: str) -> None:
@@ -38,13 +38,14 @@
 ]
 
 
-def run(folder: pathlib.Path, play: Play) -> None:
+def run(record_path: pathlib.Path, play: Play) -> None:
     """Play a case, and exit with its status.
 
-    ``play`` gets the record, a temporary folder and whether to make the
-    disruption.  It returns whether the rule held.
+    ``play`` gets the record, which is written to ``record_path``, a temporary
+    folder and whether to make the disruption.  It returns whether the rule
+    held.
     """
-    record = Record(folder=folder)
+    record = Record(path=record_path)
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record.add('with the disruption' if trouble else 'without disruption')
     status = NOT_RUN
