--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -72,7 +72,7 @@
             # Withdrawn, or one of those that are known to end endpoints.
             return outcome.AttemptResult.ENDED
         written = _time_written(call, lost_at)
-        if await endpoint_connection.is_listening(endpoint.listing):
+        if await self._is_listening(call, endpoint):
             if written is not None and written >= CRASH_DELAY:
                 self._quarantine.record_answer(request, lost_at)
             elif written is not None:
@@ -102,9 +102,13 @@
         The attempt ended by its deadline or since the caller left.
         """
         silent_since = call.last_output_at or call.sent_at
-        if silent_since is None or len(self._probes) >= MAX_PROBES:
+        if silent_since is None:
             return
         if self._clock.now() - silent_since < MIN_SILENCE:
+            self._log_check(call, endpoint, 'not silent for long enough')
+            return
+        if len(self._probes) >= MAX_PROBES:
+            self._log_check(call, endpoint, 'too many probes')
             return
         task = asyncio.get_running_loop().create_task(
             self._explain_silence(call, endpoint, silent_since)
@@ -119,9 +123,29 @@
         silent_since: datetime.datetime,
     ) -> None:
         written = _time_written(call, silent_since)
-        if not await endpoint_connection.is_listening(endpoint.listing):
+        if not await self._is_listening(call, endpoint):
             self._record_end(call, endpoint, written, silent_since)
 
+    async def _is_listening(
+        self, call: call_module.Call, endpoint: directory.Endpoint
+    ) -> bool:
+        listening = await endpoint_connection.is_listening(endpoint.listing)
+        self._log_check(
+            call, endpoint, 'listening' if listening else 'not listening'
+        )
+        return listening
+
+    def _log_check(
+        self, call: call_module.Call, endpoint: directory.Endpoint, result: str
+    ) -> None:
+        self._counters.increment('endpoint_checks', result)
+        events.emit(
+            events.Event.ENDPOINT_CHECKED,
+            call=call.id,
+            endpoint=endpoint.name,
+            result=result,
+        )
+
     def _record_end(
         self,
         call: call_module.Call,
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -207,11 +207,32 @@
         now: datetime.datetime,
     ) -> None:
         """Record that an endpoint ended while it may have begun a request."""
-        self._evidence.record_crash(incarnation, request.all(), now)
+        self._add_crash(incarnation, request.all(), now, told_by=self._host)
         if incarnation not in self._own_incarnations:
             self._own_incarnations.append(incarnation)
         self.update(now)
 
+    def _add_crash(
+        self,
+        incarnation: str,
+        suspects: abc.Collection[Fingerprint],
+        at: datetime.datetime,
+        *,
+        told_by: str,
+    ) -> None:
+        version = self._evidence.version
+        self._evidence.record_crash(incarnation, suspects, at)
+        if self._evidence.version == version:
+            return
+        counts = map(self._evidence.count_crashes, suspects)
+        events.emit(
+            events.Event.CRASH_LEARNT,
+            incarnation=incarnation,
+            told_by=told_by,
+            suspects=len(suspects),
+            most_crashes=max(counts, default=0),
+        )
+
     def own_crashes(self) -> list[crash_evidence.Crash]:
         """Return the crashes that this gateway saw itself."""
         return [
@@ -380,8 +401,8 @@
         for crash in report.crashes:
             at = told_at - crash.age
             if at >= oldest:
-                self._evidence.record_crash(
-                    crash.incarnation, crash.suspects, at
+                self._add_crash(
+                    crash.incarnation, crash.suspects, at, told_by=peer
                 )
         for fingerprint, told in report.holds.items():
             self._receive_hold(peer, fingerprint, told, told_at)
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -59,6 +59,8 @@
     QUARANTINE_ENDED = 515
     QUARANTINE_NOT_STORED = 516
     QUARANTINE_TRIAL = 517
+    ENDPOINT_CHECKED = 518
+    CRASH_LEARNT = 519
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -132,6 +134,10 @@
     'store; it is tried again',
     Event.QUARANTINE_TRIAL: 'one request is sent to see whether a quarantine '
     'is still needed',
+    Event.ENDPOINT_CHECKED: 'whether an endpoint ended under an attempt that '
+    'got no complete answer, or why nobody looked',
+    Event.CRASH_LEARNT: 'a gateway learnt of a crash, or of more requests '
+    'under which it came',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/tests/functional/test_gateway_crashes.py
+++ b/tests/functional/test_gateway_crashes.py
@@ -13,6 +13,7 @@
 
 from aspenfold._internal.commands import exit_status
 from aspenfold._internal.gateway import peers
+from aspenfold._internal.observability import events
 from tests.lib import gateway_rig as rigs
 from tests.lib import gateway_set
 from tests.lib import plan_program
@@ -431,3 +432,27 @@
                     break
 
     asyncio.run(run())
+
+
+def test_an_attempt_without_an_answer_logs_whether_its_endpoint_ended() -> (
+    None
+):
+    """An operator sees what the evidence of crashes rests on."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            await rig.add_worker('w-1', workers.never_respond)
+            await rig.wait_until_ready()
+            deadline = rigs.deadline_header(1.2)
+            response = await rig.request('/stream/', **deadline)
+            assert response.status == 504
+            count = b'aspenfold_endpoint_checks_total{label="listening"} 1.0'
+            async with asyncio.timeout(STABLE_WINDOW_S):
+                while count not in await rigs.metrics(rig):
+                    await asyncio.sleep(0.05)
+
+    with rigs.recorded_events() as lines:
+        asyncio.run(run())
+    checks = [x for x in lines if x['event'] == events.Event.ENDPOINT_CHECKED]
+    assert [x['result'] for x in checks] == ['listening']
+    assert [x['endpoint'] for x in checks] == ['w-1']
