--- a/tests/lib/gateway_set.py
+++ b/tests/lib/gateway_set.py
@@ -30,15 +30,34 @@
         ``fields`` are as those of :meth:`gateway_rig.Rig.request_head`.
         """
         body = fields.get('body', '').encode()
-        reader, writer = await asyncio.open_connection(
-            address(number), self.processes[number - 1].port
-        )
-        writer.write(self.rig.request_head(path, **fields)[1] + body)
+        head = self.rig.request_head(path, **fields)[1]
+        return await self.send(number, head + body)
+
+    async def send(self, number: int, data: bytes) -> rigs.Response:
+        """Send raw bytes to a gateway on a new connection.
+
+        The response is empty if the gateway does not listen.
+        """
+        try:
+            reader, writer = await asyncio.open_connection(
+                address(number), self.processes[number - 1].port
+            )
+        except OSError:
+            return rigs.Response()
+        writer.write(data)
         try:
             return await rigs.read_response(reader)
         finally:
             writer.close()
 
+    async def restart(self, number: int) -> None:
+        """End a gateway, then start a new one in its place."""
+        await self.processes[number - 1].abort()
+        process = await _start_gateway(self, number)
+        self.processes.remove(process)
+        self.processes[number - 1] = process
+        await rigs.wait_until(lambda: process.ready)
+
     async def restart_all(self) -> None:
         """End all gateways at once, then start as many new ones."""
         count = len(self.processes)
@@ -87,7 +106,9 @@
         await rig.store.stop()
 
 
-async def _start_gateway(gateways: GatewaySet, number: int) -> None:
+async def _start_gateway(
+    gateways: GatewaySet, number: int
+) -> gateway.GatewayProcess:
     link = links.LinkProxy(
         target_host=rigs.LOOPBACK, target_port=gateways.rig.store.port
     )
@@ -101,3 +122,4 @@
     )
     gateways.processes.append(process)
     await process.start()
+    return process
