Keep who was at each start of an endpoint until it ends or answers

Cause: whether an endpoint had ended was concluded by the attempt that suffered it, at the moment when that attempt stopped. An attempt that stopped after less than a second of silence (a route of 800 ms, a caller that left), after the endpoint was back, or by a cancellation while it looked, told nothing, and what it knew was gone with it.

Others ruled out: peers learnt all that one gateway knew.

Change: what is sent to a start of an endpoint is in a ledger until the start has answered it, and for 6 s after an attempt that stopped without an answer. Any sign of an end asks the ledger who was there: a lost connection and an address that accepts none, half a second without a sign after such an attempt, another start in the list under the same name or at the same address, a 421 by another start, and a crash that a peer tells. The ledger is a module without I/O, limited to 32 stopped requests a start and 2,048 in all, the oldest go first; bodies are not kept. Requests under way at a start whose place another one has taken end at once.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -54,22 +54,16 @@
             async with asyncio.timeout(self._call.remaining.total_seconds()):
                 result = await self._connect_and_send()
         except TimeoutError:
-            self._core.crash_watch.watch_silence(self._call, self._endpoint)
             result = outcome.AttemptResult.TIMED_OUT
         except asyncio.CancelledError:
-            self._core.crash_watch.watch_silence(self._call, self._endpoint)
+            self._core.crash_watch.abandon(self._call, endpoint)
             raise
         finally:
             endpoint.in_flight -= 1
         self._update_state(result)
-        crash_watch = self._core.crash_watch
-        if result is outcome.AttemptResult.LOST:
-            result = await crash_watch.explain_loss(self._call, self._endpoint)
-        elif result is outcome.AttemptResult.ANSWERED:
-            crash_watch.record_answer(self._call)
-        if result not in outcome.NOT_RUN:
-            self._core.quarantine.record_exposure(self._call.fingerprints)
-        return result
+        return await self._core.crash_watch.conclude(
+            self._call, endpoint, result
+        )
 
     async def _connect_and_send(self) -> outcome.AttemptResult:
         try:
@@ -97,7 +91,9 @@
         headers = self._headers()
         may_have_run_before = history.may_have_run
         sent_at = self._core.clock.now()
-        self._call.sent_at = sent_at
+        self._core.crash_watch.begin(
+            self._call, self._endpoint, connection.close
+        )
         history.attempts_sent += 1
         history.may_have_run = True
         try:
--- a/src/aspenfold/_internal/gateway/call.py
+++ b/src/aspenfold/_internal/gateway/call.py
@@ -9,6 +9,7 @@
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import response_end as end_module
+from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.network import http1_server
 
@@ -30,10 +31,8 @@
     streamed response and is kept through all attempts.
     ``buffered_response`` is the latest complete response that was not
     forwarded yet.  ``response_end`` is how the response of the latest attempt
-    ended, None if none began.  ``sent_at`` is when that attempt was sent, and
-    ``first_output_at`` and ``last_output_at`` when its response had an event,
-    or a part of another body.  Once ``is_cleared`` it is known not to crash
-    its endpoint.
+    ended, None if none began.  ``begun`` is that attempt's place in the ledger
+    of starts, None before it is sent.
     """
 
     clock: clock_module.Clock
@@ -48,10 +47,7 @@
     )
     buffered_response: BufferedResponse | None = None
     response_end: end_module.ResponseEnd | None = None
-    sent_at: datetime.datetime | None = None
-    first_output_at: datetime.datetime | None = None
-    last_output_at: datetime.datetime | None = None
-    is_cleared: bool = False
+    begun: start_ledger.BegunRequest | None = None
     parts: prompt_parts.PromptParts = prompt_parts.NONE
     _fingerprints: fingerprints_module.RequestFingerprints | None = None
 
@@ -79,23 +75,7 @@
     def begin_attempt(self) -> None:
         """Forget how the last attempt went."""
         self.response_end = None
-        self.sent_at = None
-        self.first_output_at = None
-        self.last_output_at = None
-        self.is_cleared = False
-
-    @property
-    def output_duration(self) -> datetime.timedelta:
-        """The time between the first output and the last one."""
-        if self.first_output_at is None or self.last_output_at is None:
-            return datetime.timedelta(0)
-        return self.last_output_at - self.first_output_at
-
-    def record_output(self) -> None:
-        """Note that the endpoint writes its answer."""
-        self.last_output_at = self.clock.now()
-        if self.first_output_at is None:
-            self.first_output_at = self.last_output_at
+        self.begun = None
 
     @property
     def remaining(self) -> datetime.timedelta:
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -18,6 +18,7 @@
 from aspenfold._internal.gateway import rate_limits
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.gateway import settings
+from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.gateway import statement_recorder
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.kernel import registry
@@ -77,10 +78,12 @@
         self._budgets: dict[str, shared_budget.SharedBudget] = {}
         self._gateway_count = 1
         self.outages = outages.Outages(clock=clock)
-        self.quarantine = quarantine.Quarantine(host=cfg.name)
+        ledger = start_ledger.StartLedger()
+        self.quarantine = quarantine.Quarantine(host=cfg.name, ledger=ledger)
         self.crash_watch = crash_watch.CrashWatch(
             endpoint_directory=self.directory,
             quarantine=self.quarantine,
+            ledger=ledger,
             counters=self.metrics,
             clock=clock,
         )
--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -1,6 +1,13 @@
-"""Finds out whether endpoints ended under the requests that they had."""
+"""Finds out which endpoints ended, and under which requests.
+
+What was sent to each start of an endpoint is in the ledger.  Signs of an end
+are a lost connection, an address that accepts none, another start there or
+under the same name, an entry that expired, and what peers tell.  Whichever
+comes first, the requests that the start had not answered become evidence.
+"""
 
 import asyncio
+from collections import abc
 import datetime
 
 from aspenfold._internal.gateway import call as call_module
@@ -9,17 +16,11 @@
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import quarantine as quarantine_module
+from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
 from aspenfold._internal.observability import metrics
 
-CRASH_DELAY = datetime.timedelta(seconds=1)
-"""Time after its first output in which a request may crash an endpoint; one
-that is answered for longer is not the cause."""
-
-MIN_SILENCE = datetime.timedelta(seconds=1)
-"""Time without output after which an endpoint may have ended silently."""
-
 CLEARING_TIMEOUT = datetime.timedelta(milliseconds=300)
 """How long a request that lost its endpoint waits for other gateways to say
 that its parts were answered: some of their updates."""
@@ -27,58 +28,125 @@
 CLEARING_POLL_INTERVAL_S = 0.025
 
 MAX_PROBES = 16
-"""Probes of silent endpoints at once."""
+"""Connections to endpoints at once that only look whether they listen."""
 
 
 class CrashWatch:
-    """Turns attempts that ended early into evidence for the quarantine."""
+    """Turns ends of endpoints into evidence for the quarantine."""
 
     def __init__(
         self,
         *,
         endpoint_directory: directory.Directory,
         quarantine: quarantine_module.Quarantine,
+        ledger: start_ledger.StartLedger,
         counters: metrics.Metrics,
         clock: clock_module.Clock,
     ) -> None:
         self._directory = endpoint_directory
         self._quarantine = quarantine
+        self._ledger = ledger
         self._counters = counters
         self._clock = clock
-        self._probes: set[asyncio.Task[None]] = set()
+        self._probes = asyncio.Semaphore(MAX_PROBES)
+        self._tasks: set[asyncio.Task[object]] = set()
+        self._checked: set[str] = set()
+        endpoint_directory.on_start_ended = self.record_replaced
+
+    def begin(
+        self,
+        call: call_module.Call,
+        endpoint: directory.Endpoint,
+        withdraw: abc.Callable[[], None],
+    ) -> None:
+        """Record that a request is sent; ``withdraw`` closes its connection.
 
-    def record_answer(self, call: call_module.Call) -> None:
-        """Record that an endpoint has answered a request."""
+        It is called if another start takes the endpoint's place.
+        """
+        call.begun = self._ledger.begin(
+            call_id=call.id,
+            incarnation=endpoint.listing.incarnation,
+            request=call.fingerprints,
+            withdraw=withdraw,
+            now=self._clock.now(),
+        )
+
+    def record_output(self, call: call_module.Call) -> None:
+        """Record that an endpoint wrote a part of its answer."""
+        begun = call.begun
+        assert begun is not None
+        had_outlived = begun.has_outlived
+        self._ledger.record_output(begun, self._clock.now())
+        if begun.has_outlived and not had_outlived:
+            self._record_answer(call)
+
+    def _record_answer(self, call: call_module.Call) -> None:
         self._quarantine.record_answer(call.fingerprints, self._clock.now())
 
-    def record_progress(self, call: call_module.Call) -> None:
-        """Record that an endpoint has written an answer for long enough."""
-        if call.is_cleared or call.output_duration < CRASH_DELAY:
+    def abandon(
+        self, call: call_module.Call, endpoint: directory.Endpoint
+    ) -> None:
+        """Record that an attempt stopped since its caller left."""
+        if call.begun is None:
             return
-        call.is_cleared = True
-        self.record_answer(call)
+        self._ledger.stop(call.begun, self._clock.now())
+        self._quarantine.record_exposure(call.fingerprints)
+        self._doubt(endpoint)
 
-    async def explain_loss(
-        self, call: call_module.Call, endpoint: directory.Endpoint
+    async def conclude(
+        self,
+        call: call_module.Call,
+        endpoint: directory.Endpoint,
+        result: outcome.AttemptResult,
     ) -> outcome.AttemptResult:
-        """Return the result of an attempt whose connection was lost.
+        """Return the result of an attempt, with what became of its endpoint.
 
-        It is ENDED if the endpoint ended and the request may be the cause,
-        else LOST.
+        LOST becomes ENDED if the endpoint ended and the request may be the
+        cause.
         """
-        lost_at = self._clock.now()
+        if result is outcome.AttemptResult.REPLACED:
+            self.record_replaced(endpoint)
+        elif result is outcome.AttemptResult.NOT_SENT:
+            self._doubt(endpoint)
+        begun = call.begun
+        if begun is None:
+            return result
+        if result in outcome.NOT_RUN:
+            self._ledger.finish(begun)
+            return result
+        if result in outcome.WHOLE:
+            self._ledger.finish(begun)
+            if result is outcome.AttemptResult.ANSWERED:
+                self._record_answer(call)
+        else:
+            self._ledger.stop(begun, self._clock.now())
+        if result is outcome.AttemptResult.LOST:
+            result = await self._explain_loss(call, endpoint, begun)
+        else:
+            self._doubt(endpoint)
+        self._quarantine.record_exposure(call.fingerprints)
+        return result
+
+    async def _explain_loss(
+        self,
+        call: call_module.Call,
+        endpoint: directory.Endpoint,
+        begun: start_ledger.BegunRequest,
+    ) -> outcome.AttemptResult:
         request = call.fingerprints
         if self._quarantine.is_held(request):
             # Withdrawn, or one of those that are known to end endpoints.
+            self._doubt(endpoint)
             return outcome.AttemptResult.ENDED
-        written = _time_written(call, lost_at)
-        if await self._is_listening(call, endpoint):
-            if written is not None and written >= CRASH_DELAY:
-                self._quarantine.record_answer(request, lost_at)
-            elif written is not None:
+        lost_at = self._clock.now()
+        # It goes on if the caller leaves.
+        await asyncio.shield(
+            self._spawn(self._look(endpoint, begun, ended_at=lost_at))
+        )
+        if not begun.has_ended:
+            if begun.output_duration is not None and not begun.has_outlived:
                 self._quarantine.record_survival(request)
             return outcome.AttemptResult.LOST
-        self._record_end(call, endpoint, written, lost_at)
         if endpoint.leaving or await self._is_cleared(request):
             return outcome.AttemptResult.LOST
         return outcome.AttemptResult.ENDED
@@ -94,92 +162,114 @@
             await asyncio.sleep(CLEARING_POLL_INTERVAL_S)
         return True
 
-    def watch_silence(
-        self, call: call_module.Call, endpoint: directory.Endpoint
-    ) -> None:
-        """Look, in the background, whether a silent endpoint has ended.
+    def _spawn(
+        self, work: abc.Coroutine[None, None, object]
+    ) -> asyncio.Task[object]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
-        The attempt ended by its deadline or since the caller left.
-        """
-        silent_since = call.last_output_at or call.sent_at
-        if silent_since is None:
-            return
-        if self._clock.now() - silent_since < MIN_SILENCE:
-            self._log_check(call, endpoint, 'not silent for long enough')
+    def _doubt(self, endpoint: directory.Endpoint) -> None:
+        """Look, in the background, whether an endpoint has ended."""
+        incarnation = endpoint.listing.incarnation
+        if incarnation in self._checked:
             return
-        if len(self._probes) >= MAX_PROBES:
-            self._log_check(call, endpoint, 'too many probes')
+        if self._ledger.time_to_check(incarnation, self._clock.now()) is None:
             return
-        task = asyncio.get_running_loop().create_task(
-            self._explain_silence(call, endpoint, silent_since)
-        )
-        self._probes.add(task)
-        task.add_done_callback(self._probes.discard)
+        self._checked.add(incarnation)
+        task = self._spawn(self._check(endpoint))
+        task.add_done_callback(lambda _: self._checked.discard(incarnation))
 
-    async def _explain_silence(
+    async def _check(self, endpoint: directory.Endpoint) -> None:
+        """Look once the endpoint was silent for long enough."""
+        incarnation = endpoint.listing.incarnation
+        while True:
+            now = self._clock.now()
+            delay = self._ledger.time_to_check(incarnation, now)
+            if delay is None:
+                return
+            if delay:
+                await asyncio.sleep(delay.total_seconds())
+            else:
+                await self._look(endpoint)
+
+    async def _look(
         self,
-        call: call_module.Call,
         endpoint: directory.Endpoint,
-        silent_since: datetime.datetime,
+        begun: start_ledger.BegunRequest | None = None,
+        *,
+        ended_at: datetime.datetime | None = None,
     ) -> None:
-        written = _time_written(call, silent_since)
-        if not await self._is_listening(call, endpoint):
-            self._record_end(call, endpoint, written, silent_since)
+        """Look whether an endpoint accepts connections.
 
-    async def _is_listening(
-        self, call: call_module.Call, endpoint: directory.Endpoint
-    ) -> bool:
-        listening = await endpoint_connection.is_listening(endpoint.listing)
-        self._log_check(
-            call, endpoint, 'listening' if listening else 'not listening'
-        )
-        return listening
-
-    def _log_check(
-        self, call: call_module.Call, endpoint: directory.Endpoint, result: str
-    ) -> None:
+        If it does not, it ended at ``ended_at``; by default that is not known.
+        """
+        if begun is not None and begun.has_ended:
+            return
+        async with self._probes:
+            is_listening = await endpoint_connection.is_listening(
+                endpoint.listing
+            )
+        result = 'listening' if is_listening else 'not listening'
         self._counters.increment('endpoint_checks', result)
         events.emit(
             events.Event.ENDPOINT_CHECKED,
-            call=call.id,
+            call=None if begun is None else begun.call_id,
             endpoint=endpoint.name,
             result=result,
         )
+        now = self._clock.now()
+        if is_listening:
+            self._ledger.record_sign(endpoint.listing.incarnation, now)
+            return
+        self._directory.record_unreachable(endpoint, now)
+        self._record_end(endpoint, 'not listening', at=ended_at)
+
+    def record_replaced(self, endpoint: directory.Endpoint) -> None:
+        """Record that another start has taken an endpoint's place."""
+        for begun in self._record_end(endpoint, 'replaced'):
+            if begun.stopped_at is None:
+                begun.withdraw()
 
     def _record_end(
         self,
-        call: call_module.Call,
         endpoint: directory.Endpoint,
-        written: datetime.timedelta | None,
-        at: datetime.datetime,
-    ) -> None:
-        """Record the end of an endpoint ``at`` this time.
+        sign: str,
+        *,
+        at: datetime.datetime | None = None,
+    ) -> tuple[start_ledger.BegunRequest, ...]:
+        """Record the end of a start; return the requests that it had."""
+        incarnation = endpoint.listing.incarnation
+        end = self._ledger.end(incarnation)
+        for begun in end.begun:
+            self._log_end(begun, endpoint, sign)
+        suspects = end.suspects()
+        if suspects and not endpoint.leaving:
+            self._quarantine.record_crash(
+                incarnation,
+                suspects,
+                self._clock.now(),
+                at=at or end.alive_at(),
+            )
+        return end.begun
 
-        It had ``written`` the answer for that long, None for no output.
-        """
-        service = endpoint.listing.service
-        self._counters.increment('endpoint_ends', service)
+    def _log_end(
+        self,
+        begun: start_ledger.BegunRequest,
+        endpoint: directory.Endpoint,
+        sign: str,
+    ) -> None:
+        duration = begun.output_duration
+        self._counters.increment('endpoint_ends', endpoint.listing.service)
         events.emit(
             events.Event.ENDPOINT_ENDED,
-            call=call.id,
+            call=begun.call_id,
             endpoint=endpoint.name,
+            sign=sign,
             leaving=endpoint.leaving,
-            output_ms=None if written is None else clock_module.to_ms(written),
-            fingerprints=call.fingerprints.all(),
+            output_ms=None
+            if duration is None
+            else clock_module.to_ms(duration),
+            fingerprints=begun.find_suspects(),
         )
-        self._directory.record_unreachable(endpoint, self._clock.now())
-        if endpoint.leaving or (
-            written is not None and written >= CRASH_DELAY
-        ):
-            return
-        incarnation = endpoint.listing.incarnation
-        self._quarantine.record_crash(incarnation, call.fingerprints, at)
-
-
-def _time_written(
-    call: call_module.Call, until: datetime.datetime
-) -> datetime.timedelta | None:
-    """Return for how long an answer was written, None for no output."""
-    if call.first_output_at is None:
-        return None
-    return until - call.first_output_at
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -61,6 +61,17 @@
             return self.name
         return f'{self.name}@{self.started_ms}'
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """The IP address and the port."""
+        return self.host, self.port
+
+    def replaces(self, other: 'Listing') -> bool:
+        """Return whether ``other`` has ended, as this one has its place."""
+        if self.name == other.name:
+            return self.is_later_start(other)
+        return self.address == other.address
+
     def is_later_start(self, other: 'Listing') -> bool:
         """Return whether the endpoint was started anew since ``other``."""
         if self.started_ms is None or other.started_ms is None:
@@ -172,11 +183,17 @@
 
 
 class Directory:
-    """Holds all endpoints by name and selects those that may get requests."""
+    """Holds all endpoints by name and selects those that may get requests.
+
+    ``on_start_ended`` is called with an endpoint once the list shows that
+    another start has taken its place.
+    """
 
     def __init__(self) -> None:
+        self.on_start_ended: abc.Callable[[Endpoint], None] = _ignore
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
+        self._by_address: dict[tuple[str, int], Endpoint] = {}
         self._removed: dict[str, Endpoint] = {}
 
     def __len__(self) -> int:
@@ -277,6 +294,7 @@
     def _add(self, listing: Listing) -> None:
         """Add an endpoint, with what was known of it before its removal."""
         endpoint = self._removed.pop(listing.name, None)
+        self._report_replaced(listing, endpoint)
         if endpoint is None or listing.is_later_start(endpoint.listing):
             endpoint = Endpoint(listing=listing)
         endpoint.listing = listing
@@ -285,8 +303,19 @@
         # Updates of peers were not applied meanwhile.
         endpoint.peer_in_flight = 0
         self._endpoints[listing.name] = endpoint
+        self._by_address[listing.address] = endpoint
         self._index()
 
+    def _report_replaced(
+        self, listing: Listing, removed: Endpoint | None
+    ) -> None:
+        """Report the starts whose name or address a new one has."""
+        known = self._endpoints.get(listing.name, removed)
+        holder = self._by_address.get(listing.address)
+        for endpoint in (known, holder):
+            if endpoint is not None and listing.replaces(endpoint.listing):
+                self.on_start_ended(endpoint)
+
     def _forget(self, name: str) -> None:
         endpoint = self._endpoints.pop(name, None)
         if endpoint is None:
@@ -294,7 +323,9 @@
         self._index()
         self._removed[name] = endpoint
         if len(self._removed) > MAX_REMOVED:
-            del self._removed[next(iter(self._removed))]
+            oldest = self._removed.pop(next(iter(self._removed)))
+            if self._by_address.get(oldest.listing.address) is oldest:
+                del self._by_address[oldest.listing.address]
 
     def _index(self) -> None:
         index: dict[str, list[Endpoint]] = {}
@@ -416,6 +447,10 @@
         )
 
 
+def _ignore(endpoint: Endpoint) -> None:
+    pass
+
+
 def _failure_pause(previous: int) -> datetime.timedelta:
     """Return the pause of an endpoint that was paused ``previous`` times."""
     return min(MAX_FAILURE_PAUSE, FAILURE_PAUSE * 2 ** min(previous, 4))
--- a/src/aspenfold/_internal/gateway/outcome.py
+++ b/src/aspenfold/_internal/gateway/outcome.py
@@ -60,6 +60,9 @@
     }
 )
 
+WHOLE = frozenset({AttemptResult.ANSWERED, AttemptResult.FAILED})
+"""Results after which the endpoint has nothing more to do."""
+
 NOT_RETRYABLE = frozenset(
     {
         AttemptResult.TIMED_OUT,
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -17,6 +17,7 @@
 from aspenfold._internal.gateway import crash_evidence
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import quarantine_report
+from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.observability import events
 from aspenfold._internal.routing import subset
 
@@ -88,10 +89,12 @@
         *,
         host: str,
         evidence: crash_evidence.CrashEvidence | None = None,
+        ledger: start_ledger.StartLedger | None = None,
     ) -> None:
-        """``host`` is this gateway's."""
+        """``host`` is this gateway's, ``ledger`` has what it sent."""
         self._host = host
         self._evidence = evidence or crash_evidence.CrashEvidence()
+        self._ledger = ledger or start_ledger.StartLedger()
         self._holds: dict[Fingerprint, Hold] = {}
         self._verdicts: dict[Fingerprint, datetime.datetime] = {}
         self._judged = 0
@@ -203,11 +206,16 @@
     def record_crash(
         self,
         incarnation: str,
-        request: RequestFingerprints,
+        suspects: abc.Collection[Fingerprint],
         now: datetime.datetime,
+        *,
+        at: datetime.datetime | None = None,
     ) -> None:
-        """Record that an endpoint ended while it may have begun a request."""
-        self._add_crash(incarnation, request.all(), now, told_by=self._host)
+        """Record that an endpoint ended that may have begun ``suspects``.
+
+        It ended ``at`` this time, by default ``now``.
+        """
+        self._add_crash(incarnation, suspects, at or now, told_by=self._host)
         if incarnation not in self._own_incarnations:
             self._own_incarnations.append(incarnation)
         self.update(now)
@@ -292,6 +300,7 @@
 
     def update(self, now: datetime.datetime) -> None:
         """Put causes into quarantine, and end what no request came for."""
+        self._ledger.forget_old(now)
         for hold in list(self._holds.values()):
             if hold.ends_at() <= now:
                 self._end(hold, 'no such request came')
@@ -400,10 +409,14 @@
         oldest = now - crash_evidence.CRASH_MEMORY
         for crash in report.crashes:
             at = told_at - crash.age
-            if at >= oldest:
-                self._add_crash(
-                    crash.incarnation, crash.suspects, at, told_by=peer
-                )
+            if at < oldest:
+                continue
+            own = self._ledger.end(crash.incarnation, before=at).suspects()
+            if own:
+                self.record_crash(crash.incarnation, own, now, at=at)
+            self._add_crash(
+                crash.incarnation, crash.suspects, at, told_by=peer
+            )
         for fingerprint, told in report.holds.items():
             self._receive_hold(peer, fingerprint, told, told_at)
         if report.crashes:
--- a/src/aspenfold/_internal/gateway/response_receiver.py
+++ b/src/aspenfold/_internal/gateway/response_receiver.py
@@ -67,7 +67,7 @@
         size = 0
         try:
             while (data := await self._connection.read_data()) is not None:
-                self._call.record_output()
+                self._core.crash_watch.record_output(self._call)
                 parts.append(data)
                 size += len(data)
                 if size > MAX_BUFFERED_BYTES:
@@ -101,8 +101,7 @@
             while (data := await self._connection.read_data()) is not None:
                 events = stream.feed(data)
                 if events:
-                    self._call.record_output()
-                    self._core.crash_watch.record_progress(self._call)
+                    self._core.crash_watch.record_output(self._call)
                     self._start_stream(head)
                     response.write(events)
                     await response.drain()
--- /dev/null
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -0,0 +1,240 @@
+"""Which requests each start of an endpoint has begun and not answered.
+
+An attempt can't tell by itself whether its endpoint ended under it: it may
+stop before that shows, or after the endpoint is back.  So a request is kept
+here for a while after its attempt, and whoever learns of the end, by whatever
+sign, finds who was there.
+
+This module only makes decisions: it does no I/O and reads no clock.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import datetime
+
+from aspenfold._internal.gateway import fingerprints
+
+Fingerprint = fingerprints.Fingerprint
+
+CRASH_DELAY = datetime.timedelta(seconds=1)
+"""Time after its first output in which a request may crash an endpoint; one
+that is answered for longer is not the cause."""
+
+MIN_SILENCE = datetime.timedelta(milliseconds=500)
+"""Time without a sign of life after which an endpoint may have ended."""
+
+RETENTION = datetime.timedelta(seconds=6)
+"""How long a request without an answer is kept after its attempt: until an
+endpoint that was silent and away for some seconds is listed anew."""
+
+MAX_STOPPED_PER_START = 32
+"""Requests of one start that are kept after their attempts, the last ones."""
+
+MAX_STOPPED = 2_048
+"""The same of all starts."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class BegunRequest:
+    """A request that was sent to a start of an endpoint.
+
+    ``withdraw`` closes its connection.  ``first_output_at`` and
+    ``last_output_at`` are when the response had an event, or a part of another
+    body.  ``suspects`` are kept of the request once its attempt has stopped.
+    ``has_ended`` is whether the start is known to have ended.
+    """
+
+    call_id: str
+    incarnation: str
+    sent_at: datetime.datetime
+    withdraw: abc.Callable[[], None]
+    request: fingerprints.RequestFingerprints | None
+    first_output_at: datetime.datetime | None = None
+    last_output_at: datetime.datetime | None = None
+    stopped_at: datetime.datetime | None = None
+    has_ended: bool = False
+    suspects: tuple[Fingerprint, ...] = ()
+
+    @property
+    def alive_at(self) -> datetime.datetime:
+        """When the request last showed its endpoint alive."""
+        return self.last_output_at or self.sent_at
+
+    @property
+    def output_duration(self) -> datetime.timedelta | None:
+        """The time from the first output to the last, None without any."""
+        if self.first_output_at is None or self.last_output_at is None:
+            return None
+        return self.last_output_at - self.first_output_at
+
+    @property
+    def has_outlived(self) -> bool:
+        """Whether the endpoint wrote the answer for long enough."""
+        duration = self.output_duration
+        return duration is not None and duration >= CRASH_DELAY
+
+    def find_suspects(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints that may have crashed the start."""
+        if self.has_outlived:
+            return ()
+        return self.suspects if self.request is None else self.request.all()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StartEnd:
+    """The end of a start.
+
+    ``begun`` are the requests that it had not answered.
+    """
+
+    begun: tuple[BegunRequest, ...] = ()
+
+    def alive_at(self) -> datetime.datetime | None:
+        """Return when one of the requests last showed it alive, if any."""
+        return max((one.alive_at for one in self.begun), default=None)
+
+    def suspects(self) -> set[Fingerprint]:
+        """Return the fingerprints that may have crashed the start."""
+        return {s for one in self.begun for s in one.find_suspects()}
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Start:
+    """``heard_at`` is when it, or a later start in its place, gave a sign."""
+
+    heard_at: datetime.datetime
+    begun: list[BegunRequest] = dataclasses.field(default_factory=list)
+
+
+class StartLedger:
+    """The requests that starts of endpoints have begun and not answered."""
+
+    def __init__(self) -> None:
+        self._starts: dict[str, _Start] = {}
+        self._stopped: collections.deque[BegunRequest] = collections.deque()
+
+    def begin(
+        self,
+        *,
+        call_id: str,
+        incarnation: str,
+        request: fingerprints.RequestFingerprints,
+        withdraw: abc.Callable[[], None],
+        now: datetime.datetime,
+    ) -> BegunRequest:
+        """Record that a start accepted a connection, for a request."""
+        begun = BegunRequest(
+            call_id=call_id,
+            incarnation=incarnation,
+            sent_at=now,
+            withdraw=withdraw,
+            request=request,
+        )
+        start = self._starts.setdefault(incarnation, _Start(heard_at=now))
+        start.heard_at = now
+        start.begun.append(begun)
+        return begun
+
+    def record_output(
+        self, begun: BegunRequest, now: datetime.datetime
+    ) -> None:
+        """Record that the start wrote a part of the answer."""
+        begun.last_output_at = now
+        if begun.first_output_at is None:
+            begun.first_output_at = now
+        self.record_sign(begun.incarnation, now)
+
+    def record_sign(self, incarnation: str, now: datetime.datetime) -> None:
+        """Record a sign of life of a start, or of a later one in its place."""
+        start = self._starts.get(incarnation)
+        if start is not None:
+            start.heard_at = now
+
+    def finish(self, begun: BegunRequest) -> None:
+        """Forget a request that was answered, or not run."""
+        self._remove(begun)
+
+    def stop(self, begun: BegunRequest, now: datetime.datetime) -> None:
+        """Keep a request whose attempt stopped without an answer."""
+        if begun.has_ended or begun.request is None:
+            return
+        begun.suspects = begun.find_suspects()
+        # The request itself may be large.
+        begun.request = None
+        begun.stopped_at = now
+        self._stopped.append(begun)
+        self._limit(begun.incarnation, now)
+
+    def _limit(self, incarnation: str, now: datetime.datetime) -> None:
+        """Forget what is too old or too much, the oldest first."""
+        stopped = self._stopped_at_start(incarnation)
+        for begun in stopped[:-MAX_STOPPED_PER_START]:
+            self._remove(begun)
+        while self._stopped:
+            oldest = self._stopped[0]
+            assert oldest.stopped_at is not None
+            if (
+                now - oldest.stopped_at < RETENTION
+                and len(self._stopped) <= MAX_STOPPED
+            ):
+                break
+            self._stopped.popleft()
+            self._remove(oldest)
+
+    def _stopped_at_start(self, incarnation: str) -> list[BegunRequest]:
+        start = self._starts.get(incarnation)
+        if start is None:
+            return []
+        return [one for one in start.begun if one.stopped_at is not None]
+
+    def _remove(self, begun: BegunRequest) -> None:
+        start = self._starts.get(begun.incarnation)
+        if start is None or begun not in start.begun:
+            return
+        start.begun.remove(begun)
+        if not start.begun:
+            del self._starts[begun.incarnation]
+
+    def forget_old(self, now: datetime.datetime) -> None:
+        """Forget requests whose attempts stopped long ago."""
+        if self._stopped:
+            self._limit('', now)
+
+    def time_to_check(
+        self, incarnation: str, now: datetime.datetime
+    ) -> datetime.timedelta | None:
+        """Return when to look whether a start has ended, from ``now``.
+
+        It is None if nothing is to be found out: no attempt stopped without
+        an answer, or the start was alive for long enough since.
+        """
+        stopped = self._stopped_at_start(incarnation)
+        times = [one.stopped_at for one in stopped if one.stopped_at]
+        if not times:
+            return None
+        heard_at = self._starts[incarnation].heard_at
+        if heard_at - max(times) >= MIN_SILENCE:
+            return None
+        return max(datetime.timedelta(0), heard_at + MIN_SILENCE - now)
+
+    def end(
+        self, incarnation: str, *, before: datetime.datetime | None = None
+    ) -> StartEnd:
+        """Return who was at a start that has ended, and forget them.
+
+        Only requests that were sent until ``before`` count, unless it is
+        None.
+        """
+        start = self._starts.get(incarnation)
+        if start is None:
+            return StartEnd()
+        found = [
+            one
+            for one in start.begun
+            if before is None or one.sent_at <= before
+        ]
+        for one in found:
+            one.has_ended = True
+            self._remove(one)
+        return StartEnd(begun=tuple(found))
--- a/tests/lib/simulated_crashes.py
+++ b/tests/lib/simulated_crashes.py
@@ -245,7 +245,9 @@
             gateway = self._gateways[attempt.gateway]
             written = self._written(attempt, self.now)
             if written is None or written < SECOND:
-                gateway.record_crash(incarnation, attempt.request, self.now)
+                gateway.record_crash(
+                    incarnation, attempt.request.all(), self.now
+                )
             gateway.record_exposure(attempt.request)
         endpoint.attempts.clear()
         endpoint.up_at = self.now + self._load.down_time
--- /dev/null
+++ b/tests/unit/test_start_ledger.py
@@ -0,0 +1,198 @@
+"""What was begun under a start of an endpoint, until it ends."""
+
+import datetime
+
+import hypothesis
+from hypothesis import strategies as st
+
+from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.gateway import prompt_parts
+from aspenfold._internal.gateway import start_ledger
+from aspenfold._internal.kernel import clock
+from aspenfold._internal.network import http1_server
+
+SECOND = datetime.timedelta(seconds=1)
+NOW = clock.EPOCH + 1_000 * SECOND
+START = 'w-1@1'
+
+
+def request_with(body: bytes, *parts: str) -> fingerprints.RequestFingerprints:
+    """Return the fingerprints of a request."""
+    return fingerprints.RequestFingerprints(
+        request=http1_server.Request(
+            method=b'POST',
+            target=b'/',
+            headers=[],
+            body=body,
+            received_at=NOW,
+            connection_reused=False,
+        ),
+        organisation='one',
+        parts=prompt_parts.PromptParts(shared=parts),
+    )
+
+
+class Ledger(start_ledger.StartLedger):
+    """A ledger whose requests differ in their bodies only."""
+
+    def send(
+        self, body: bytes, at_s: float, incarnation: str = START
+    ) -> start_ledger.BegunRequest:
+        """Begin a request ``at_s`` seconds after the start of the test."""
+        return self.begin(
+            call_id=body.decode(),
+            incarnation=incarnation,
+            request=request_with(body),
+            withdraw=lambda: None,
+            now=at(at_s),
+        )
+
+    def present(self, incarnation: str = START) -> list[str]:
+        """End a start; return the requests that it had not answered."""
+        return [one.call_id for one in self.end(incarnation).begun]
+
+
+def at(seconds: float) -> datetime.datetime:
+    """Return a time of the test."""
+    return NOW + seconds * SECOND
+
+
+def test_a_request_is_there_until_it_is_answered() -> None:
+    """Whether its attempt goes on, or has stopped."""
+    ledger = Ledger()
+    ledger.send(b'waits', 0)
+    ledger.stop(ledger.send(b'left', 0), at(0.1))
+    ledger.finish(ledger.send(b'answered', 0))
+    ledger.send(b'elsewhere', 0, 'w-2@1')
+    assert ledger.present() == ['waits', 'left']
+    assert ledger.present() == []
+    assert ledger.present('w-2@1') == ['elsewhere']
+
+
+def test_a_request_is_forgotten_some_time_after_its_attempt() -> None:
+    """Endpoints end for other reasons later."""
+    ledger = Ledger()
+    retention_s = start_ledger.RETENTION / SECOND
+    ledger.stop(ledger.send(b'early', 0), at(1))
+    ledger.stop(ledger.send(b'late', 0), at(2))
+    ledger.send(b'waits', 0)
+    ledger.forget_old(at(1 + retention_s))
+    assert ledger.present() == ['late', 'waits']
+
+
+def test_what_is_kept_of_a_stopped_attempt_is_small_and_limited() -> None:
+    """Bodies are not kept; the oldest attempts are forgotten first."""
+    ledger = Ledger()
+    limit = start_ledger.MAX_STOPPED_PER_START
+    for number in range(limit + 3):
+        begun = ledger.send(b'%d' % number, 0)
+        suspects = begun.find_suspects()
+        ledger.stop(begun, at(0.1))
+        assert begun.request is None
+        assert begun.find_suspects() == suspects
+    assert ledger.present() == [str(n) for n in range(3, limit + 3)]
+
+
+def test_starts_share_a_limit() -> None:
+    """Many endpoints with few requests each."""
+    ledger = Ledger()
+    limit = start_ledger.MAX_STOPPED
+    for number in range(limit + 1):
+        ledger.stop(ledger.send(b'x', 0, f'w-{number}'), at(0.1))
+    assert ledger.present('w-0') == []
+    assert ledger.present('w-1') == ['x']
+    assert ledger.present(f'w-{limit}') == ['x']
+
+
+def test_who_was_sent_after_an_end_was_not_there() -> None:
+    """A peer tells late of an end that it saw."""
+    ledger = Ledger()
+    ledger.send(b'before', 1)
+    after = ledger.send(b'after', 3)
+    found = ledger.end(START, before=at(2)).begun
+    assert [one.call_id for one in found] == ['before']
+    assert found[0].has_ended
+    assert not after.has_ended
+    assert ledger.present() == ['after']
+
+
+def test_an_end_is_dated_by_the_last_sign_of_who_was_there() -> None:
+    """Answers that came since clear their fingerprints."""
+    ledger = Ledger()
+    ledger.send(b'silent', 1)
+    ledger.record_output(ledger.send(b'begun', 0), at(2))
+    ledger.finish(ledger.send(b'answered', 3))
+    assert ledger.end(START).alive_at() == at(2)
+    assert ledger.end(START).alive_at() is None
+
+
+def test_an_answer_that_was_written_for_long_makes_no_suspect() -> None:
+    """A shorter one does; both were there."""
+    ledger = Ledger()
+    for body, until in ((b'long', 1.0), (b'short', 0.9)):
+        begun = ledger.send(body, 0)
+        ledger.record_output(begun, at(0))
+        ledger.record_output(begun, at(until))
+    end = ledger.end(START)
+    assert len(end.begun) == 2
+    assert end.suspects() == set(request_with(b'short').all())
+
+
+def test_a_start_is_checked_once_it_was_silent_for_long_enough() -> None:
+    """The time counts from its last sign, in whichever request."""
+    ledger = Ledger()
+    silence_s = start_ledger.MIN_SILENCE / SECOND
+    other = ledger.send(b'other', 0)
+    left = ledger.send(b'left', 0)
+    assert ledger.time_to_check(START, at(0.1)) is None
+    ledger.stop(left, at(0.1))
+    assert ledger.time_to_check(START, at(0.1)) == (silence_s - 0.1) * SECOND
+    ledger.record_output(other, at(0.4))
+    assert ledger.time_to_check(START, at(0.5)) == (silence_s - 0.1) * SECOND
+    assert not ledger.time_to_check(START, at(5))
+    ledger.record_output(other, at(0.1 + silence_s))
+    assert ledger.time_to_check(START, at(0.1 + silence_s)) is None
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['send', 'output', 'stop', 'finish', 'end']),
+            st.integers(0, 5),
+            st.floats(0, 3),
+        ),
+        max_size=60,
+    )
+)
+def test_nobody_who_was_there_lately_is_missed(
+    steps: list[tuple[str, int, float]],
+) -> None:
+    """Any order of sends, outputs, stops, answers and ends."""
+    ledger, now_s = Ledger(), 0.0
+    open_: dict[int, start_ledger.BegunRequest] = {}
+    there: dict[str, float | None] = {}
+    for count, (step, number, wait_s) in enumerate(steps):
+        now_s += wait_s
+        begun = open_.get(number)
+        if step == 'send':
+            open_[number] = ledger.send(b'%d' % count, now_s)
+            there[str(count)] = None
+        elif step == 'end':
+            retention_s = start_ledger.RETENTION / SECOND
+            expected = {
+                name
+                for name, stopped_s in there.items()
+                if stopped_s is None or now_s - stopped_s < retention_s
+            }
+            assert expected <= set(ledger.present())
+            there.clear()
+        elif begun is None or begun.call_id not in there:
+            continue
+        elif step == 'output':
+            ledger.record_output(begun, at(now_s))
+        elif step == 'stop' and there[begun.call_id] is None:
+            ledger.stop(begun, at(now_s))
+            there[begun.call_id] = now_s
+        elif step == 'finish' and there[begun.call_id] is None:
+            ledger.finish(begun)
+            del there[begun.call_id]
