Count each crash of a request that ends what it is sent to

Cause: crashes less than half a second apart counted once, since a failure of a host, a rack or a link may end several endpoints. Repeats at once make three ends in 20 ms; so three rounds of repeats were needed where the rule counts three ends. Ends for other reasons meanwhile raised that to five.

Change: a whole request that was never answered, and ends at least half of the endpoints that it is sent to, is a cause after three crashes at two times, or four at one; what else ends meanwhile no longer matters to it. Requests that are at endpoints now count as sent, so that what many ask for is not taken for the cause where a host fails. Otherwise it needs five crashes apart, as before for those that were answered. A part of a prompt needs what it needed: to hold it wrongly keeps back the requests of many.

Why it works: repeats come to an endpoint only since somebody sent them there again, and each of them ends it; a sound request that many send is answered, or still runs, elsewhere.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -8,7 +8,10 @@
 
 * An answer clears its fingerprints of all crashes before it.
 * Crashes close to each other count once, as one failure of a host, a rack or a
-  link may cause them all.
+  link may cause them all.  Of a whole request that was never answered and ends
+  most endpoints that it is sent to each counts, once there are two such times
+  or more crashes than one failure is likely to cause: to hold it wrongly costs
+  its caller only.
 * An endpoint that outlives an answer which it has begun, but which broke off,
   speaks against the suspects of that request.
 * What endpoints answered shortly before the crashes is more likely beside the
@@ -31,13 +34,19 @@
 
 Fingerprint = fingerprints.Fingerprint
 
+Counter = abc.Callable[[Fingerprint], int]
+
 MIN_CRASHES_CERTAIN = 2
 """Crashes, apart in time, after which a part is a cause if it is in all
 crashes since its first one, and no endpoint outlived it."""
 
 MIN_CRASHES = 3
-"""The same if it is in MIN_SHARE of them, for a whole request, and where it is
-not told from another one."""
+"""The same if it is in MIN_SHARE of them, and where it is not told from
+another one.  Also crashes, of whatever share and at two times, of a whole
+request under which MIN_SHARE of the endpoints crashed that it was sent to."""
+
+MIN_CRASHES_AT_ONCE = 4
+"""Crashes of such a request at one time."""
 
 MIN_CRASHES_UNLIKELY = 5
 """The same if it is in fewer, or was answered shortly before the first."""
@@ -95,6 +104,10 @@
             self._times.popitem(last=False)
 
 
+def _count_none(fingerprint: Fingerprint) -> int:
+    return 0
+
+
 class CrashEvidence:
     """Crashes and answers that this and other gateways saw.
 
@@ -112,6 +125,7 @@
             collections.Counter()
         )
         self._suspects: set[Fingerprint] = set()
+        self._count_running: Counter = _count_none
         self.version = 0
 
     @property
@@ -236,10 +250,19 @@
             self._survivals.clear()
 
     def causes(
-        self, known: abc.Collection[Fingerprint], now: datetime.datetime
+        self,
+        known: abc.Collection[Fingerprint],
+        now: datetime.datetime,
+        *,
+        count_running: Counter = _count_none,
     ) -> list[Fingerprint]:
-        """Return the new causes, beside those that are ``known``."""
+        """Return the new causes, beside those that are ``known``.
+
+        ``count_running`` returns how many requests with a fingerprint are at
+        endpoints now.
+        """
         self.forget_old(now)
+        self._count_running = count_running
         unexplained = [
             crash
             for crash in self._crashes
@@ -294,22 +317,37 @@
         times: abc.Sequence[datetime.datetime],
         crashes: abc.Sequence[Crash],
     ) -> bool:
+        if fingerprints.is_request(suspect):
+            return self._is_request_cause(suspect, times)
         survivals = self._survivals[suspect]
         if len(times) <= survivals:
             return False
         since = sum(crash.at >= times[0] for crash in crashes)
         needed = MIN_CRASHES
-        if (
-            len(times) == since
-            and not survivals
-            and not fingerprints.is_request(suspect)
-        ):
+        if len(times) == since and not survivals:
             needed = MIN_CRASHES_CERTAIN
         is_likely = len(times) >= MIN_SHARE * since
         if not is_likely or self.was_answered(suspect, times[0]):
             needed = MIN_CRASHES_UNLIKELY
         return count_episodes(times) >= needed
 
+    def _is_request_cause(
+        self, request: Fingerprint, times: abc.Sequence[datetime.datetime]
+    ) -> bool:
+        """Return whether a whole request is a cause.
+
+        What else crashes meanwhile says nothing of it.
+        """
+        sent = self._exposures[request] + self._count_running(request)
+        episodes = count_episodes(times)
+        if len(times) < MIN_SHARE * sent or self.was_answered(
+            request, times[0]
+        ):
+            return episodes >= MIN_CRASHES_UNLIKELY
+        if episodes == 1:
+            return len(times) >= MIN_CRASHES_AT_ONCE
+        return len(times) >= MIN_CRASHES
+
     def _rank(
         self, suspect: Fingerprint, times: abc.Sequence[datetime.datetime]
     ) -> tuple[bool, int, float, int, bool]:
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -307,7 +307,9 @@
         if not self._verdicts and self._evidence.version == self._judged:
             return
         self._judged = self._evidence.version
-        causes = self._evidence.causes(self._holds, now)
+        causes = self._evidence.causes(
+            self._holds, now, count_running=self._ledger.count_running
+        )
         self._verdicts = {
             cause: self._verdicts.get(cause, now) for cause in causes
         }
--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -201,6 +201,14 @@
         if self._stopped:
             self._limit('', now)
 
+    def count_running(self, fingerprint: Fingerprint) -> int:
+        """Return how many requests with it are at starts now."""
+        return sum(
+            one.stopped_at is None and fingerprint in one.find_suspects()
+            for start in self._starts.values()
+            for one in start.begun
+        )
+
     def time_to_check(
         self, incarnation: str, now: datetime.datetime
     ) -> datetime.timedelta | None:
--- a/tests/lib/gateway_set.py
+++ b/tests/lib/gateway_set.py
@@ -86,7 +86,8 @@
     await rig.store.start()
     await rig.write_plan(rigs.make_plan())
     await rig.add_worker('w-1')
-    (port,) = free_ports.find_ports(address(1), 1)
+    hosts = [address(number) for number in range(1, count + 1)]
+    port = free_ports.find_port_pair(hosts)
     gateways = GatewaySet(rig=rig, peer_port=port, processes=[], links=[])
     try:
         for number in range(1, count + 1):
--- a/tests/lib/simulated_crashes.py
+++ b/tests/lib/simulated_crashes.py
@@ -16,6 +16,7 @@
 from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import quarantine_report
+from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import http1_server
 from tests.lib import peer_updates
@@ -70,6 +71,7 @@
 
     gateway: int
     request: fingerprints.RequestFingerprints
+    begun: start_ledger.BegunRequest
     sent_at: datetime.datetime
     is_bad: bool
     is_cleared: bool = False
@@ -111,9 +113,14 @@
         self._load = load
         self._exchange = exchange
         self._rng = random.Random(seed)
+        self._ledgers = [
+            start_ledger.StartLedger() for _ in range(load.gateways)
+        ]
         self._gateways = [
-            quarantine.Quarantine(host=f'g-{number}', evidence=factory())
-            for number in range(load.gateways)
+            quarantine.Quarantine(
+                host=f'g-{number}', evidence=factory(), ledger=ledger
+            )
+            for number, ledger in enumerate(self._ledgers)
         ]
         hosts = {f'g-{number}' for number in range(load.gateways)}
         for number, gateway in enumerate(self._gateways):
@@ -154,10 +161,18 @@
             if not up:
                 continue
             endpoint = min(up, key=lambda e: len(e.attempts))
+            begun = self._ledgers[number].begin(
+                call_id='',
+                incarnation=self._incarnation(endpoint),
+                request=request,
+                withdraw=lambda: None,
+                now=self.now,
+            )
             endpoint.attempts.append(
                 _Attempt(
                     gateway=number,
                     request=request,
+                    begun=begun,
                     sent_at=self.now,
                     is_bad=is_bad,
                 )
@@ -204,11 +219,16 @@
                 age = self.now - attempt.sent_at
                 if attempt.is_bad:
                     continue
+                if age >= FIRST_OUTPUT_DELAY:
+                    self._ledgers[attempt.gateway].record_output(
+                        attempt.begun, self.now
+                    )
                 if age >= FIRST_OUTPUT_DELAY + SECOND:
                     self._clear(attempt)
                 if age < self._load.answer_time:
                     continue
                 endpoint.attempts.remove(attempt)
+                self._ledgers[attempt.gateway].finish(attempt.begun)
                 self._clear(attempt)
 
     def _clear(self, attempt: _Attempt) -> None:
@@ -238,22 +258,24 @@
 
     def _end(self, endpoint: _Endpoint) -> None:
         """End an endpoint; all its requests are lost."""
+        incarnation = self._incarnation(endpoint)
         endpoint.starts += 1
-        number = self._endpoints.index(endpoint)
-        incarnation = f'w-{number}@{endpoint.starts}'
+        for gateway, ledger in zip(self._gateways, self._ledgers, strict=True):
+            suspects = ledger.end(incarnation).suspects()
+            if suspects:
+                gateway.record_crash(incarnation, suspects, self.now)
         for attempt in endpoint.attempts:
             gateway = self._gateways[attempt.gateway]
-            written = self._written(attempt, self.now)
-            if written is None or written < SECOND:
-                gateway.record_crash(
-                    incarnation, attempt.request.all(), self.now
-                )
             gateway.record_exposure(attempt.request)
         endpoint.attempts.clear()
         endpoint.up_at = self.now + self._load.down_time
         if self._load.is_group:
             self._stall()
 
+    def _incarnation(self, endpoint: _Endpoint) -> str:
+        number = self._endpoints.index(endpoint)
+        return f'w-{number}@{endpoint.starts}'
+
     def _stall(self) -> None:
         """Let all ranks stall and lose their requests."""
         lost_at = self.now + STALL_DURATION
@@ -268,6 +290,7 @@
         due = [one for one in self._lost if one[0] <= self.now]
         self._lost = [one for one in self._lost if one[0] > self.now]
         for lost_at, attempt in due:
+            self._ledgers[attempt.gateway].stop(attempt.begun, self.now)
             # Nothing is written while the group stalls.
             if self._written(attempt, lost_at - STALL_DURATION) is not None:
                 self._gateways[attempt.gateway].record_survival(
@@ -341,6 +364,7 @@
         self,
         known: abc.Collection[fingerprints.Fingerprint],
         now: datetime.datetime,
+        **_: object,
     ) -> list[fingerprints.Fingerprint]:
         """Return the parts of five crashes."""
         suspects = {s for crash in self.crashes for s in crash.suspects}
--- a/tests/unit/test_crash_evidence.py
+++ b/tests/unit/test_crash_evidence.py
@@ -60,6 +60,49 @@
     assert causes(crashes_of(whole(1), count=3)) == [whole(1)]
 
 
+@pytest.mark.parametrize(
+    ('gaps_s', 'is_cause'),
+    [
+        # Repeats at once, each of which was sent after the end before it.
+        ((0, 0.01, 0.02, 0.03), True),
+        # Two callers at once, then two again.
+        ((0, 0.01, 4, 4.01), True),
+        ((0, 0.01, 4), True),
+        # A host of three endpoints fails.
+        ((0, 0.01, 0.02), False),
+        ((0, 4), False),
+    ],
+)
+def test_crashes_at_once_count_for_a_request_that_ends_all_it_meets(
+    gaps_s: tuple[float, ...], is_cause: bool
+) -> None:
+    """Ends of one request within half a second counted once (issue 39)."""
+    evidence = crash_evidence.CrashEvidence()
+    for number, seconds in enumerate(gaps_s):
+        suspects = [whole(1), whole(10 + number)]
+        evidence.record_crash(f'w-{number}', suspects, at(seconds))
+        evidence.record_exposure(whole(1))
+    found = [whole(1)] if is_cause else []
+    assert causes(evidence) == found
+
+
+def test_a_request_that_runs_elsewhere_needs_five_crashes() -> None:
+    """Many ask for the same, and an endpoint that had it fails."""
+    evidence = crashes_of(whole(1), count=4)
+    for running, found in ((8, [whole(1)]), (9, [])):
+        assert found == evidence.causes(
+            (), at(30), count_running=lambda _, n=running: n
+        )
+
+
+def test_other_crashes_do_not_hide_a_request_that_ends_all_it_meets() -> None:
+    """Endpoints that end for reasons of their own."""
+    evidence = crashes_of(whole(1), count=3)
+    for number in range(9):
+        evidence.record_crash(f'v-{number}', [whole(20 + number)], at(number))
+    assert causes(evidence) == [whole(1)]
+
+
 def test_a_request_answered_shortly_before_needs_five_crashes() -> None:
     """A service that fails whole answers nothing between its crashes."""
     evidence = crashes_of(whole(1), count=4)
--- a/tests/unit/test_crash_load.py
+++ b/tests/unit/test_crash_load.py
@@ -46,6 +46,25 @@
         assert simulation.false_holds() == []
 
 
+@pytest.mark.parametrize('kill_size', [1, 3])
+def test_what_many_ask_for_is_not_held_while_endpoints_end(
+    kill_size: int,
+) -> None:
+    """It is at every endpoint that ends, and has no part to tell it by."""
+    load = simulated.Load(
+        gateways=7,
+        bad_per_s=0,
+        kills_per_s=1 / kill_size,
+        kill_size=kill_size,
+        alike=0.4,
+    )
+    for seed in range(4):
+        simulation = simulated.Simulation(load, seed)
+        simulation.run(20 * simulated.SECOND)
+        assert simulation.kills
+        assert not simulation.held
+
+
 @pytest.mark.parametrize('name', ['other ends only', 'hosts of three'])
 def test_ends_without_a_cause_hold_nothing(name: str) -> None:
     """Kills, and hosts that fail with all their endpoints."""
