Tell ends late in an answer from early ones

Cause: an answer that is written for a second cleared all fingerprints of its request, and made it no suspect of an end that came later. That is right for the parts of a prompt, with which others are served meanwhile, and for what ends an endpoint early; a request that is the same each time may end each endpoint as late.

Change: a whole request has two fingerprints. An end within a second of the first output has the early one and the parts as suspects, a later one has the late one, which only a whole answer clears.

Ruled out: progress that clears parts alone. It left what many ask for a suspect until its answer was whole; simulated, sound requests were held then that are not now (test_crash_load).

--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -78,10 +78,9 @@
         had_outlived = begun.has_outlived
         self._ledger.record_output(begun, self._clock.now())
         if begun.has_outlived and not had_outlived:
-            self._record_answer(call)
-
-    def _record_answer(self, call: call_module.Call) -> None:
-        self._quarantine.record_answer(call.fingerprints, self._clock.now())
+            self._quarantine.record_progress(
+                call.fingerprints, self._clock.now()
+            )
 
     def abandon(
         self, call: call_module.Call, endpoint: directory.Endpoint
@@ -117,7 +116,9 @@
         if result in outcome.WHOLE:
             self._ledger.finish(begun)
             if result is outcome.AttemptResult.ANSWERED:
-                self._record_answer(call)
+                self._quarantine.record_answer(
+                    call.fingerprints, self._clock.now()
+                )
         else:
             self._ledger.stop(begun, self._clock.now())
         if result is outcome.AttemptResult.LOST:
--- a/src/aspenfold/_internal/gateway/fingerprints.py
+++ b/src/aspenfold/_internal/gateway/fingerprints.py
@@ -1,8 +1,9 @@
 """Fingerprints: what a request has in common with others.
 
 A part of its prompt is one, and so is the whole request: its caller, method,
-host, path and body, or the parts of its prompt if there is no body.  Only
-digests leave this module.
+host, path and body, or the parts of its prompt if there is no body.  The whole
+request has another one for what happens once its answer was written for long.
+Only digests leave this module.
 """
 
 import functools
@@ -18,6 +19,7 @@
 
 PART_KIND = 'p'
 REQUEST_KIND = 'r'
+LATE_REQUEST_KIND = 'l'
 
 
 def of_part(part: str) -> Fingerprint:
@@ -27,7 +29,7 @@
 
 def is_request(fingerprint: Fingerprint) -> bool:
     """Return whether it is the fingerprint of whole requests."""
-    return fingerprint.startswith(REQUEST_KIND)
+    return fingerprint.startswith((REQUEST_KIND, LATE_REQUEST_KIND))
 
 
 class RequestFingerprints:
@@ -67,6 +69,16 @@
             value.update(field)
         return Fingerprint(REQUEST_KIND + digests.encode(value))
 
+    @property
+    def late(self) -> Fingerprint:
+        """The fingerprint of the whole request, late in its answer."""
+        digest = self.whole.removeprefix(REQUEST_KIND)
+        return Fingerprint(LATE_REQUEST_KIND + digest)
+
+    def early(self) -> tuple[Fingerprint, ...]:
+        """Return all fingerprints but the late one."""
+        return (self.whole, *self.parts)
+
     def all(self) -> tuple[Fingerprint, ...]:
         """Return all fingerprints, that of the whole request first."""
-        return (self.whole, *self.parts)
+        return (*self.early(), self.late)
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -203,7 +203,10 @@
             return False
         if not all(self._evidence.was_answered(p, now) for p in request.parts):
             return False
-        crashes = self._evidence.count_crashes(request.whole)
+        crashes = sum(
+            self._evidence.count_crashes(one)
+            for one in (request.whole, request.late)
+        )
         return crashes < MIN_CRASHES_OF_REQUEST
 
     def record_crash(
@@ -271,10 +274,23 @@
         self, request: RequestFingerprints, now: datetime.datetime
     ) -> None:
         """Record that an endpoint answered a request."""
-        for fingerprint in request.all():
-            self._record_answer(
-                fingerprint, now, reason=f'answered at {self._host}'
-            )
+        self._record_answers(request.all(), now)
+
+    def record_progress(
+        self, request: RequestFingerprints, now: datetime.datetime
+    ) -> None:
+        """Record that an endpoint has answered a request for long enough.
+
+        It may still crash late in the answer.
+        """
+        self._record_answers(request.early(), now)
+
+    def _record_answers(
+        self, answered: abc.Iterable[Fingerprint], now: datetime.datetime
+    ) -> None:
+        reason = f'answered at {self._host}'
+        for fingerprint in answered:
+            self._record_answer(fingerprint, now, reason=reason)
 
     def record_survival(self, request: RequestFingerprints) -> None:
         """Record that an endpoint outlived an answer that it had begun."""
--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -18,8 +18,9 @@
 Fingerprint = fingerprints.Fingerprint
 
 CRASH_DELAY = datetime.timedelta(seconds=1)
-"""Time after its first output in which a request may crash an endpoint; one
-that is answered for longer is not the cause."""
+"""Time after its first output in which a request may crash an endpoint by its
+parts, or early in its answer; one that is answered for longer is cleared of
+that."""
 
 MIN_SILENCE = datetime.timedelta(milliseconds=500)
 """Time without a sign of life after which an endpoint may have ended."""
@@ -75,10 +76,15 @@
         return duration is not None and duration >= CRASH_DELAY
 
     def find_suspects(self) -> tuple[Fingerprint, ...]:
-        """Return the fingerprints that may have crashed the start."""
+        """Return the fingerprints that may have crashed the start.
+
+        A request that is the same each time may end each endpoint as late.
+        """
+        if self.request is None:
+            return self.suspects
         if self.has_outlived:
-            return ()
-        return self.suspects if self.request is None else self.request.all()
+            return (self.request.late,)
+        return self.request.early()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/lib/simulated_crashes.py
+++ b/tests/lib/simulated_crashes.py
@@ -219,25 +219,17 @@
                 age = self.now - attempt.sent_at
                 if attempt.is_bad:
                     continue
+                gateway = self._gateways[attempt.gateway]
+                ledger = self._ledgers[attempt.gateway]
                 if age >= FIRST_OUTPUT_DELAY:
-                    self._ledgers[attempt.gateway].record_output(
-                        attempt.begun, self.now
-                    )
-                if age >= FIRST_OUTPUT_DELAY + SECOND:
-                    self._clear(attempt)
-                if age < self._load.answer_time:
-                    continue
-                endpoint.attempts.remove(attempt)
-                self._ledgers[attempt.gateway].finish(attempt.begun)
-                self._clear(attempt)
-
-    def _clear(self, attempt: _Attempt) -> None:
-        """Tell the gateway that a request does not crash its endpoint."""
-        if not attempt.is_cleared:
-            attempt.is_cleared = True
-            self._gateways[attempt.gateway].record_answer(
-                attempt.request, self.now
-            )
+                    ledger.record_output(attempt.begun, self.now)
+                if attempt.begun.has_outlived and not attempt.is_cleared:
+                    attempt.is_cleared = True
+                    gateway.record_progress(attempt.request, self.now)
+                if age >= self._load.answer_time:
+                    endpoint.attempts.remove(attempt)
+                    ledger.finish(attempt.begun)
+                    gateway.record_answer(attempt.request, self.now)
 
     def _crash(self) -> None:
         for endpoint in self._endpoints:
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -58,7 +58,7 @@
         """Let a new endpoint end under a request of a gateway."""
         self._endpoints += 1
         self.all[number].record_crash(
-            f'w-{self._endpoints}', request.all(), self.now
+            f'w-{self._endpoints}', request.early(), self.now
         )
 
     def wait(self, seconds: float = 1.0) -> None:
@@ -227,9 +227,9 @@
     """The first may have been a coincidence."""
     one = quarantine.Quarantine(host='g-0')
     request = request_with(body=b'x')
-    one.record_crash('w-1', request.all(), NOW)
+    one.record_crash('w-1', request.early(), NOW)
     assert one.may_retry(request, NOW)
-    one.record_crash('w-2', request.all(), NOW + SECOND)
+    one.record_crash('w-2', request.early(), NOW + SECOND)
     assert not one.may_retry(request, NOW + SECOND)
 
 
@@ -238,7 +238,7 @@
     one = quarantine.Quarantine(host='g-0')
     for number in range(2):
         request = request_with('bad', body=b'%d' % number)
-        one.record_crash(f'w-{number}', request.all(), NOW + number * SECOND)
+        one.record_crash(f'w-{number}', request.early(), NOW + number * SECOND)
     one.update(NOW + 2 * SECOND)
     assert one.is_held(request_with('bad'))
     report = quarantine_report.Report(
--- a/tests/unit/test_quarantine_records.py
+++ b/tests/unit/test_quarantine_records.py
@@ -114,7 +114,7 @@
     records = make_records(held)
     keys = set()
     for number in range(100):
-        held.record_crash(f'w-{number}', bad_request().all(), NOW)
+        held.record_crash(f'w-{number}', bad_request().early(), NOW)
         for key, value in records.due():
             keys.add(key)
             records.apply(ports.Record(offset=0, key=key, value=value))
--- a/tests/unit/test_start_ledger.py
+++ b/tests/unit/test_start_ledger.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import prompt_parts
@@ -126,16 +127,27 @@
     assert ledger.end(START).alive_at() is None
 
 
-def test_an_answer_that_was_written_for_long_makes_no_suspect() -> None:
-    """A shorter one does; both were there."""
+@pytest.mark.parametrize('stopped', [False, True])
+def test_an_end_late_in_an_answer_is_told_from_an_early_one(
+    stopped: bool,
+) -> None:
+    """A stream that is repeated may end each endpoint after seconds."""
     ledger = Ledger()
-    for body, until in ((b'long', 1.0), (b'short', 0.9)):
-        begun = ledger.send(body, 0)
+    requests = [request_with(b'%d' % n, f'part-{n}') for n in range(2)]
+    for request, until in zip(requests, (1.0, 0.9), strict=True):
+        begun = ledger.begin(
+            call_id='one',
+            incarnation=START,
+            request=request,
+            withdraw=lambda: None,
+            now=at(0),
+        )
         ledger.record_output(begun, at(0))
         ledger.record_output(begun, at(until))
-    end = ledger.end(START)
-    assert len(end.begun) == 2
-    assert end.suspects() == set(request_with(b'short').all())
+        if stopped:
+            ledger.stop(begun, at(2))
+    long, short = requests
+    assert ledger.end(START).suspects() == {long.late, *short.early()}
 
 
 def test_a_start_is_checked_once_it_was_silent_for_long_enough() -> None:
