Name the start that follows one that ended, before the list shows it

Cause: a crash is known by the listed start of its endpoint. Until the list shows the next start, a second crash seemed to be the first one, and counted nothing.

Change: once a start is known to have ended, by a sign of its own or from a peer, what is sent to its endpoint belongs to the next start, which gets a name of its own; the listed start takes it over. A peer that tells of an end takes with it what had been sent until it told so.

With it: a request is weighed against the endpoints that outlived it, be it that they answered with a failure or were alive seconds later, or that have it now, and no more against all sends. Copies that meet at one endpoint made several sends to one crash, so that a request could seem to spare endpoints.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -9,7 +9,7 @@
 * An answer clears its fingerprints of all crashes before it.
 * Crashes close to each other count once, as one failure of a host, a rack or a
   link may cause them all.  Of a whole request that was never answered and ends
-  most endpoints that it is sent to each counts, once there are two such times
+  most endpoints that it meets each counts, once there are two such times
   or more crashes than one failure is likely to cause: to hold it wrongly costs
   its caller only.
 * An endpoint that outlives an answer which it has begun, but which broke off,
@@ -43,7 +43,7 @@
 MIN_CRASHES = 3
 """The same if it is in MIN_SHARE of them, and where it is not told from
 another one.  Also crashes, of whatever share and at two times, of a whole
-request under which MIN_SHARE of the endpoints crashed that it was sent to."""
+request that met no more endpoints that outlived it."""
 
 MIN_CRASHES_AT_ONCE = 4
 """Crashes of such a request at one time."""
@@ -227,14 +227,11 @@
             self._survivals[fingerprint] += 1
 
     def exposures(self, fingerprint: Fingerprint) -> int:
-        """Return how often this gateway sent a suspect."""
+        """Return how often an endpoint outlived a suspect here."""
         return self._exposures[fingerprint]
 
     def record_exposure(self, fingerprint: Fingerprint) -> None:
-        """Note that this gateway sent a request that an endpoint may have run.
-
-        It counts whether the endpoint ended or not.
-        """
+        """Note that an endpoint outlived a request of this gateway."""
         if fingerprint in self._suspects:
             self._exposures[fingerprint] += 1
 
@@ -263,7 +260,7 @@
         """Return the new causes, beside those that are ``known``.
 
         ``count_others`` returns how many requests with a fingerprint are at
-        endpoints now, or were sent to them by other gateways.
+        endpoints now, or met others that outlived them by other gateways.
         """
         self.forget_old(now)
         self._count_others = count_others
@@ -342,11 +339,9 @@
 
         What else crashes meanwhile says nothing of it.
         """
-        sent = self._exposures[request] + self._count_others(request)
+        outlived = self._exposures[request] + self._count_others(request)
         episodes = count_episodes(times)
-        if len(times) < MIN_SHARE * sent or self.was_answered(
-            request, times[0]
-        ):
+        if len(times) < outlived or self.was_answered(request, times[0]):
             return episodes >= MIN_CRASHES_UNLIKELY
         if episodes == 1:
             return len(times) >= MIN_CRASHES_AT_ONCE
--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -89,8 +89,7 @@
         if call.begun is None:
             return
         self._ledger.stop(call.begun, self._clock.now())
-        self._quarantine.record_exposure(call.fingerprints)
-        self._doubt(endpoint)
+        self._doubt(endpoint, call.begun.incarnation)
 
     async def conclude(
         self,
@@ -106,7 +105,8 @@
         if result is outcome.AttemptResult.REPLACED:
             self.record_replaced(endpoint)
         elif result is outcome.AttemptResult.NOT_SENT:
-            self._doubt(endpoint)
+            start = self._ledger.current(endpoint.listing.incarnation)
+            self._doubt(endpoint, start)
         begun = call.begun
         if begun is None:
             return result
@@ -119,13 +119,13 @@
                 self._quarantine.record_answer(
                     call.fingerprints, self._clock.now()
                 )
-        else:
-            self._ledger.stop(begun, self._clock.now())
+            else:
+                self._quarantine.record_exposure(call.fingerprints)
+            return result
+        self._ledger.stop(begun, self._clock.now())
         if result is outcome.AttemptResult.LOST:
-            result = await self._explain_loss(call, endpoint, begun)
-        else:
-            self._doubt(endpoint)
-        self._quarantine.record_exposure(call.fingerprints)
+            return await self._explain_loss(call, endpoint, begun)
+        self._doubt(endpoint, begun.incarnation)
         return result
 
     async def _explain_loss(
@@ -137,13 +137,17 @@
         request = call.fingerprints
         if self._quarantine.is_held(request):
             # Withdrawn, or one of those that are known to end endpoints.
-            self._doubt(endpoint)
+            self._doubt(endpoint, begun.incarnation)
             return outcome.AttemptResult.ENDED
-        lost_at = self._clock.now()
-        # It goes on if the caller leaves.
-        await asyncio.shield(
-            self._spawn(self._look(endpoint, begun, ended_at=lost_at))
-        )
+        if not begun.has_ended:
+            look = self._look(
+                endpoint,
+                begun.incarnation,
+                call_id=call.id,
+                ended_at=self._clock.now(),
+            )
+            # It goes on if the caller leaves.
+            await asyncio.shield(self._spawn(look))
         if not begun.has_ended:
             if begun.output_duration is not None and not begun.has_outlived:
                 self._quarantine.record_survival(request)
@@ -171,43 +175,39 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def _doubt(self, endpoint: directory.Endpoint) -> None:
-        """Look, in the background, whether an endpoint has ended."""
-        incarnation = endpoint.listing.incarnation
-        if incarnation in self._checked:
+    def _doubt(self, endpoint: directory.Endpoint, start: str) -> None:
+        """Look, in the background, whether a start of an endpoint ended."""
+        if start in self._checked:
             return
-        if self._ledger.time_to_check(incarnation, self._clock.now()) is None:
+        if self._ledger.time_to_check(start, self._clock.now()) is None:
             return
-        self._checked.add(incarnation)
-        task = self._spawn(self._check(endpoint))
-        task.add_done_callback(lambda _: self._checked.discard(incarnation))
+        self._checked.add(start)
+        task = self._spawn(self._check(endpoint, start))
+        task.add_done_callback(lambda _: self._checked.discard(start))
 
-    async def _check(self, endpoint: directory.Endpoint) -> None:
-        """Look once the endpoint was silent for long enough."""
-        incarnation = endpoint.listing.incarnation
+    async def _check(self, endpoint: directory.Endpoint, start: str) -> None:
+        """Look whenever the start was silent for long enough."""
         while True:
-            now = self._clock.now()
-            delay = self._ledger.time_to_check(incarnation, now)
+            delay = self._ledger.time_to_check(start, self._clock.now())
             if delay is None:
                 return
             if delay:
                 await asyncio.sleep(delay.total_seconds())
             else:
-                await self._look(endpoint)
+                await self._look(endpoint, start)
 
     async def _look(
         self,
         endpoint: directory.Endpoint,
-        begun: start_ledger.BegunRequest | None = None,
+        start: str,
         *,
+        call_id: str = '',
         ended_at: datetime.datetime | None = None,
     ) -> None:
         """Look whether an endpoint accepts connections.
 
         If it does not, it ended at ``ended_at``; by default that is not known.
         """
-        if begun is not None and begun.has_ended:
-            return
         async with self._probes:
             is_listening = await endpoint_connection.is_listening(
                 endpoint.listing
@@ -216,44 +216,51 @@
         self._counters.increment('endpoint_checks', result)
         events.emit(
             events.Event.ENDPOINT_CHECKED,
-            call=None if begun is None else begun.call_id,
+            call=call_id,
             endpoint=endpoint.name,
             result=result,
         )
         now = self._clock.now()
         if is_listening:
-            self._ledger.record_sign(endpoint.listing.incarnation, now)
+            self._ledger.record_sign(start, now)
             return
         self._directory.record_unreachable(endpoint, now)
-        self._record_end(endpoint, 'not listening', at=ended_at)
+        end = self._ledger.end(start)
+        self._record_end(endpoint, start, end, 'not listening', at=ended_at)
 
-    def record_replaced(self, endpoint: directory.Endpoint) -> None:
+    def record_replaced(
+        self,
+        endpoint: directory.Endpoint,
+        successor: directory.Listing | None = None,
+    ) -> None:
         """Record that another start has taken an endpoint's place."""
-        for begun in self._record_end(endpoint, 'replaced'):
+        start = endpoint.listing.incarnation
+        next_start = None
+        if successor is not None and successor.name == endpoint.name:
+            next_start = successor.incarnation
+        end = self._ledger.replace(start, next_start)
+        self._record_end(endpoint, start, end, 'replaced')
+        for begun in end.begun:
             if begun.stopped_at is None:
                 begun.withdraw()
 
     def _record_end(
         self,
         endpoint: directory.Endpoint,
+        start: str,
+        end: start_ledger.StartEnd,
         sign: str,
         *,
         at: datetime.datetime | None = None,
-    ) -> tuple[start_ledger.BegunRequest, ...]:
-        """Record the end of a start; return the requests that it had."""
-        incarnation = endpoint.listing.incarnation
-        end = self._ledger.end(incarnation)
+    ) -> None:
+        """Make the end of a start evidence, and log who was there."""
         for begun in end.begun:
             self._log_end(begun, endpoint, sign)
         suspects = end.suspects()
         if suspects and not endpoint.leaving:
             self._quarantine.record_crash(
-                incarnation,
-                suspects,
-                self._clock.now(),
-                at=at or end.alive_at(),
+                start, suspects, self._clock.now(), at=at or end.alive_at()
             )
-        return end.begun
 
     def _log_end(
         self,
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -186,11 +186,11 @@
     """Holds all endpoints by name and selects those that may get requests.
 
     ``on_start_ended`` is called with an endpoint once the list shows that
-    another start has taken its place.
+    another start has taken its place, and with the listing of that.
     """
 
     def __init__(self) -> None:
-        self.on_start_ended: abc.Callable[[Endpoint], None] = _ignore
+        self.on_start_ended: abc.Callable[[Endpoint, Listing], None] = _ignore
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
         self._by_address: dict[tuple[str, int], Endpoint] = {}
@@ -314,7 +314,7 @@
         holder = self._by_address.get(listing.address)
         for endpoint in (known, holder):
             if endpoint is not None and listing.replaces(endpoint.listing):
-                self.on_start_ended(endpoint)
+                self.on_start_ended(endpoint, listing)
 
     def _forget(self, name: str) -> None:
         endpoint = self._endpoints.pop(name, None)
@@ -447,7 +447,7 @@
         )
 
 
-def _ignore(endpoint: Endpoint) -> None:
+def _ignore(endpoint: Endpoint, successor: Listing) -> None:
     pass
 
 
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -99,7 +99,7 @@
         self._verdicts: dict[Fingerprint, datetime.datetime] = {}
         self._judged = 0
         self._peers: abc.Collection[str] = ()
-        self._sent: dict[str, abc.Mapping[Fingerprint, int]] = {}
+        self._outlived: dict[str, abc.Mapping[Fingerprint, int]] = {}
         self._own_incarnations: collections.deque[str] = collections.deque(
             maxlen=MAX_OWN_CRASHES
         )
@@ -121,8 +121,8 @@
     def set_peers(self, hosts: abc.Set[str]) -> None:
         """Set the other gateways that are alive."""
         self._peers = hosts
-        for gone in self._sent.keys() - hosts:
-            del self._sent[gone]
+        for gone in self._outlived.keys() - hosts:
+            del self._outlived[gone]
 
     def admit(
         self, request: RequestFingerprints, now: datetime.datetime
@@ -298,10 +298,13 @@
             self._evidence.record_survival(fingerprint)
 
     def record_exposure(self, request: RequestFingerprints) -> None:
-        """Record that a request was sent that an endpoint may have run."""
+        """Record that an endpoint outlived a request that it may have run."""
+        self._record_exposure(request.all())
+
+    def _record_exposure(self, outlived: abc.Iterable[Fingerprint]) -> None:
         if not self._evidence.crashes:
             return
-        for fingerprint in request.all():
+        for fingerprint in outlived:
             self._evidence.record_exposure(fingerprint)
 
     def _record_answer(
@@ -319,7 +322,8 @@
 
     def update(self, now: datetime.datetime) -> None:
         """Put causes into quarantine, and end what no request came for."""
-        self._ledger.forget_old(now)
+        for suspects in self._ledger.forget_old(now):
+            self._record_exposure(suspects)
         for hold in list(self._holds.values()):
             if hold.ends_at() <= now:
                 self._end(hold, 'no such request came')
@@ -345,13 +349,15 @@
                 )
 
     def _count_others(self, fingerprint: Fingerprint) -> int:
-        told = sum(sent.get(fingerprint, 0) for sent in self._sent.values())
+        told = sum(
+            counts.get(fingerprint, 0) for counts in self._outlived.values()
+        )
         return told + self._ledger.count_running(fingerprint)
 
-    def _count_sent(
+    def _count_outlived(
         self, crashes: abc.Iterable[crash_evidence.Crash]
     ) -> dict[Fingerprint, int]:
-        """Return how often this gateway sent what may be held soon."""
+        """Return how many endpoints outlived, or have, what may be held."""
         return {
             suspect: self._evidence.exposures(suspect)
             + self._ledger.count_running(suspect)
@@ -404,7 +410,7 @@
                 )
                 for hold in self._holds.values()
             },
-            sent=self._count_sent(crashes),
+            outlived=self._count_outlived(crashes),
         )
 
     def _telling_crashes(
@@ -439,7 +445,7 @@
     ) -> None:
         """Apply what a peer told at ``sent_at``, by default ``now``."""
         told_at = sent_at or now
-        self._sent[peer] = report.sent
+        self._outlived[peer] = report.outlived
         for fingerprint, age in report.answer_ages.items():
             self._record_answer(
                 fingerprint,
@@ -451,7 +457,8 @@
             at = told_at - crash.age
             if at < oldest:
                 continue
-            own = self._ledger.end(crash.incarnation, before=at).suspects()
+            end = self._ledger.end_as_told(crash.incarnation, told_at)
+            own = end.suspects()
             if own:
                 self.record_crash(crash.incarnation, own, now, at=at)
             self._add_crash(
--- a/src/aspenfold/_internal/gateway/quarantine_report.py
+++ b/src/aspenfold/_internal/gateway/quarantine_report.py
@@ -44,8 +44,9 @@
     """What one gateway tells its peers.
 
     ``crashes`` begin with the most telling one.  ``answer_ages`` is how long
-    ago suspects were last answered, ``sent`` how often the gateway sent whole
-    requests that are suspects of several crashes.
+    ago suspects were last answered.  ``outlived`` is how many endpoints have
+    outlived whole requests of the gateway that are suspects of several
+    crashes, or have them now.
     """
 
     crashes: tuple[CrashReport, ...] = ()
@@ -55,7 +56,7 @@
     holds: abc.Mapping[Fingerprint, HoldReport] = dataclasses.field(
         default_factory=dict
     )
-    sent: abc.Mapping[Fingerprint, int] = dataclasses.field(
+    outlived: abc.Mapping[Fingerprint, int] = dataclasses.field(
         default_factory=dict
     )
 
@@ -65,7 +66,7 @@
             [(c.incarnation, c.suspects) for c in self.crashes],
             sorted(self.answer_ages),
             sorted((k, v.trials) for k, v in self.holds.items()),
-            sorted(self.sent),
+            sorted(self.outlived),
         )
 
     def shortened(self) -> 'Report | None':
@@ -75,8 +76,8 @@
         """
         if self.crashes:
             return dataclasses.replace(self, crashes=self.crashes[:-1])
-        if self.answer_ages or self.sent:
-            return dataclasses.replace(self, answer_ages={}, sent={})
+        if self.answer_ages or self.outlived:
+            return dataclasses.replace(self, answer_ages={}, outlived={})
         if self.holds:
             return Report()
         return None
@@ -102,7 +103,7 @@
             ]
             for k, v in report.holds.items()
         },
-        dict(report.sent),
+        dict(report.outlived),
     ]
 
 
@@ -112,7 +113,7 @@
     Raises ValueError, TypeError or AttributeError if they are invalid.
     """
     crashes, answer_ages, holds, *rest = value
-    sent = rest[0] if rest else {}
+    outlived = rest[0] if rest else {}
     return Report(
         crashes=tuple(_decode_crash(*crash) for crash in crashes),
         answer_ages={
@@ -122,7 +123,9 @@
         holds={
             _decode_fingerprint(k): _decode_hold(*v) for k, v in holds.items()
         },
-        sent={_decode_fingerprint(k): max(0, int(v)) for k, v in sent.items()},
+        outlived={
+            _decode_fingerprint(k): max(0, int(v)) for k, v in outlived.items()
+        },
     )
 
 
--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -5,6 +5,9 @@
 here for a while after its attempt, and whoever learns of the end, by whatever
 sign, finds who was there.
 
+A start that ended is followed by another one, which the list shows later.
+What is sent meanwhile belongs to that one, so that it gets a name of its own.
+
 This module only makes decisions: it does no I/O and reads no clock.
 """
 
@@ -35,6 +38,12 @@
 MAX_STOPPED = 2_048
 """The same of all starts."""
 
+MAX_ENDED = 1_024
+"""Starts that are remembered as ended, the latest ones."""
+
+UNLISTED_MARK = '+'
+"""Ends the name of a start that follows one that ended, and isn't listed."""
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BegunRequest:
@@ -118,6 +127,9 @@
 
     def __init__(self) -> None:
         self._starts: dict[str, _Start] = {}
+        self._ended: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._stopped: collections.deque[BegunRequest] = collections.deque()
 
     def begin(
@@ -129,7 +141,11 @@
         withdraw: abc.Callable[[], None],
         now: datetime.datetime,
     ) -> BegunRequest:
-        """Record that a start accepted a connection, for a request."""
+        """Record that a start accepted a connection, for a request.
+
+        ``incarnation`` is the start in the list.
+        """
+        incarnation = self.current(incarnation)
         begun = BegunRequest(
             call_id=call_id,
             incarnation=incarnation,
@@ -142,6 +158,12 @@
         start.begun.append(begun)
         return begun
 
+    def current(self, incarnation: str) -> str:
+        """Return the name of a listed start, or of the one after its end."""
+        while incarnation in self._ended:
+            incarnation += UNLISTED_MARK
+        return incarnation
+
     def record_output(
         self, begun: BegunRequest, now: datetime.datetime
     ) -> None:
@@ -170,23 +192,15 @@
         begun.request = None
         begun.stopped_at = now
         self._stopped.append(begun)
-        self._limit(begun.incarnation, now)
+        self._limit(begun.incarnation)
 
-    def _limit(self, incarnation: str, now: datetime.datetime) -> None:
-        """Forget what is too old or too much, the oldest first."""
+    def _limit(self, incarnation: str) -> None:
+        """Forget what is too much, the oldest first."""
         stopped = self._stopped_at_start(incarnation)
         for begun in stopped[:-MAX_STOPPED_PER_START]:
             self._remove(begun)
-        while self._stopped:
-            oldest = self._stopped[0]
-            assert oldest.stopped_at is not None
-            if (
-                now - oldest.stopped_at < RETENTION
-                and len(self._stopped) <= MAX_STOPPED
-            ):
-                break
-            self._stopped.popleft()
-            self._remove(oldest)
+        while len(self._stopped) > MAX_STOPPED:
+            self._remove(self._stopped.popleft())
 
     def _stopped_at_start(self, incarnation: str) -> list[BegunRequest]:
         start = self._starts.get(incarnation)
@@ -202,10 +216,24 @@
         if not start.begun:
             del self._starts[begun.incarnation]
 
-    def forget_old(self, now: datetime.datetime) -> None:
-        """Forget requests whose attempts stopped long ago."""
-        if self._stopped:
-            self._limit('', now)
+    def forget_old(
+        self, now: datetime.datetime
+    ) -> list[tuple[Fingerprint, ...]]:
+        """Forget requests whose attempts stopped long ago.
+
+        Return the suspects of each whose start has outlived it.
+        """
+        found = []
+        while self._stopped:
+            oldest = self._stopped[0]
+            assert oldest.stopped_at is not None
+            if now - oldest.stopped_at < RETENTION:
+                break
+            self._stopped.popleft()
+            if not oldest.has_ended:
+                found.append(oldest.suspects)
+            self._remove(oldest)
+        return found
 
     def count_running(self, fingerprint: Fingerprint) -> int:
         """Return how many requests with it are at starts now."""
@@ -232,23 +260,64 @@
             return None
         return max(datetime.timedelta(0), heard_at + MIN_SILENCE - now)
 
-    def end(
-        self, incarnation: str, *, before: datetime.datetime | None = None
+    def end(self, incarnation: str) -> StartEnd:
+        """Return who was at a start that has ended, and forget them."""
+        start = self._starts.pop(incarnation, None)
+        if start is None:
+            return StartEnd()
+        self._mark_ended(incarnation)
+        for one in start.begun:
+            one.has_ended = True
+        return StartEnd(begun=tuple(start.begun))
+
+    def end_as_told(
+        self, incarnation: str, told_at: datetime.datetime
     ) -> StartEnd:
-        """Return who was at a start that has ended, and forget them.
+        """Return who was at a start that a peer told ``told_at`` has ended.
 
-        Only requests that were sent until ``before`` count, unless it is
-        None.
+        What was sent later was accepted by the next start.
         """
-        start = self._starts.get(incarnation)
-        if start is None:
+        if incarnation in self._ended:
             return StartEnd()
-        found = [
-            one
-            for one in start.begun
-            if before is None or one.sent_at <= before
-        ]
-        for one in found:
-            one.has_ended = True
-            self._remove(one)
-        return StartEnd(begun=tuple(found))
+        start = self._starts.get(incarnation)
+        later = []
+        if start is not None:
+            later = [one for one in start.begun if one.sent_at > told_at]
+            start.begun = [one for one in start.begun if one not in later]
+        end = self.end(incarnation)
+        # The peer may know of starts between it and the listed one.
+        listed = incarnation.rstrip(UNLISTED_MARK)
+        for length in range(len(listed), len(incarnation) + 1):
+            self._mark_ended(incarnation[:length])
+        self._move(later, self.current(incarnation))
+        return end
+
+    def replace(self, incarnation: str, successor: str | None) -> StartEnd:
+        """Return who was at a start whose place another one has.
+
+        If its end was known, what was sent since belongs to the
+        ``successor``, None for one of another name.
+        """
+        if incarnation not in self._ended:
+            return self.end(incarnation)
+        start = self._starts.pop(self.current(incarnation), None)
+        if start is not None and successor is not None:
+            self._move(start.begun, successor)
+        return StartEnd()
+
+    def _move(
+        self, moved: abc.Sequence[BegunRequest], incarnation: str
+    ) -> None:
+        """Move requests to the start that they were sent to."""
+        if not moved:
+            return
+        heard_at = max(one.alive_at for one in moved)
+        start = self._starts.setdefault(incarnation, _Start(heard_at=heard_at))
+        for one in moved:
+            one.incarnation = incarnation
+            start.begun.append(one)
+
+    def _mark_ended(self, incarnation: str) -> None:
+        self._ended[incarnation] = None
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
