Hold a request after three crashes at once, and soon try it once

Cause: three crashes at one time may be one failure of a host, so that a fourth was awaited. To wait costs endpoints, and to hold a sound request for ten minutes costs its callers.

Change: three crashes are enough, and a request that is held after so few is tried once after 1.5 s, by the first gateway that gets it then, or by another one a second later each. An answer ends the quarantine; an end makes it last. The trial is mostly still within the 3 s in which gateways learn.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -9,9 +9,8 @@
 * An answer clears its fingerprints of all crashes before it.
 * Crashes close to each other count once, as one failure of a host, a rack or a
   link may cause them all.  Of a whole request that was never answered and ends
-  most endpoints that it meets each counts, once there are two such times
-  or more crashes than one failure is likely to cause: to hold it wrongly costs
-  its caller only.
+  most endpoints that it meets each counts: to hold it wrongly costs its caller
+  only, until a trial.
 * An endpoint that outlives an answer which it has begun, but which broke off,
   speaks against the suspects of that request.
 * What endpoints answered shortly before the crashes is more likely beside the
@@ -42,12 +41,9 @@
 
 MIN_CRASHES = 3
 """The same if it is in MIN_SHARE of them, and where it is not told from
-another one.  Also crashes, of whatever share and at two times, of a whole
+another one.  Also crashes, of whatever share and also at once, of a whole
 request that met no more endpoints that outlived it."""
 
-MIN_CRASHES_AT_ONCE = 4
-"""Crashes of such a request at one time."""
-
 MIN_CRASHES_UNLIKELY = 5
 """The same if it is in fewer, or was answered shortly before the first."""
 
@@ -340,11 +336,8 @@
         What else crashes meanwhile says nothing of it.
         """
         outlived = self._exposures[request] + self._count_others(request)
-        episodes = count_episodes(times)
         if len(times) < outlived or self.was_answered(request, times[0]):
-            return episodes >= MIN_CRASHES_UNLIKELY
-        if episodes == 1:
-            return len(times) >= MIN_CRASHES_AT_ONCE
+            return count_episodes(times) >= MIN_CRASHES_UNLIKELY
         return len(times) >= MIN_CRASHES
 
     def _rank(
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -39,6 +39,13 @@
 all gateways.  An answer ends the quarantine.  Each trial may cost an endpoint,
 so that there are no more."""
 
+EARLY_TRIAL_AGE = datetime.timedelta(milliseconds=1_500)
+"""Age of the quarantine of a whole request after the fewest crashes from which
+on one is sent as a trial: a failure of several hosts may have caused them."""
+
+EARLY_TRIAL_TURN = datetime.timedelta(seconds=1)
+"""Time for one gateway to get such a request before the next may send it."""
+
 MAX_QUARANTINED = 32
 """Fingerprints in quarantine, the latest ones."""
 
@@ -70,11 +77,26 @@
     source: str
     trials: int = 0
 
-    def is_trial_due(self, now: datetime.datetime) -> bool:
-        """Return whether a request may be sent as a trial."""
-        if self.trials >= len(TRIAL_AGES):
+    @property
+    def is_early(self) -> bool:
+        """Whether it began after the fewest crashes, and had no trial yet."""
+        return (
+            fingerprints.is_request(self.fingerprint)
+            and self.crashes <= crash_evidence.MIN_CRASHES
+            and not self.trials
+        )
+
+    def is_trial_due(self, now: datetime.datetime, turn: int) -> bool:
+        """Return whether a request may be sent as a trial.
+
+        ``turn`` is how many gateways come before this one.
+        """
+        age = now - self.begun_at
+        if self.is_early:
+            return age >= EARLY_TRIAL_AGE + turn * EARLY_TRIAL_TURN
+        if turn or self.trials >= len(TRIAL_AGES):
             return False
-        return now - self.begun_at >= TRIAL_AGES[self.trials]
+        return age >= TRIAL_AGES[self.trials]
 
     def ends_at(self) -> datetime.datetime:
         """Return when it ends if no such request comes until then."""
@@ -135,7 +157,7 @@
         for hold in holds:
             hold.seen_at = now
         for hold in holds:
-            if not hold.is_trial_due(now) or self.turn(hold.fingerprint):
+            if not hold.is_trial_due(now, self.turn(hold.fingerprint)):
                 return hold
         for hold in holds:
             hold.trials += 1
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -361,3 +361,41 @@
     except (ValueError, TypeError, AttributeError):
         return
     quarantine.Quarantine(host='g').receive('peer', report, NOW)
+
+
+def held_early(count: int) -> Gateways:
+    """Return gateways that hold a request after three crashes at once."""
+    gateways = Gateways(count)
+    for number in range(3):
+        gateways.crash(number % count, request_with(body=b'x'))
+    gateways.wait()
+    gateways.wait()
+    for one in gateways.all:
+        one.set_peers({f'g-{number}' for number in range(count)})
+    assert gateways.held(request_with(body=b'x')) == [True] * count
+    return gateways
+
+
+@pytest.mark.parametrize('is_sound', [False, True])
+def test_a_request_held_after_three_crashes_is_soon_tried_once(
+    is_sound: bool,
+) -> None:
+    """A failure of three hosts that had it looks the same."""
+    gateways = held_early(3)
+    tried = []
+    for _ in range(40):
+        gateways.wait(0.1)
+        for number, one in enumerate(gateways.all):
+            request = request_with(body=b'x')
+            if one.admit(request, gateways.now) is not None:
+                continue
+            tried.append(number)
+            if is_sound:
+                one.record_answer(request, gateways.now)
+            else:
+                gateways.crash(number, request)
+    if is_sound:
+        assert gateways.held(request_with(body=b'x')) == [False] * 3
+    else:
+        assert len(tried) == 1
+        assert gateways.held(request_with(body=b'x')) == [True] * 3
