Tell peers the suspects of a crash that are in others, and more of them

Cause: an update told six suspects of each crash, in the order of their digests where none was ever answered, so that the same ones were left out each time. A request among twelve or more at an endpoint could stay unknown to all gateways but the one that sent it.

Change: those of several crashes go first, then those that were answered least lately, in an order of the crash's own; the 36 places of an update are shared by the crashes that it tells.

Result: test_a_request_among_many_suspects_is_known_to_all_gateways failed with three and eight gateways before, and holds.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -30,6 +30,7 @@
 
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.kernel import clock
+from aspenfold._internal.routing import subset
 
 Fingerprint = fingerprints.Fingerprint
 
@@ -153,6 +154,22 @@
             suspects, key=lambda s: (self.answered_at(s) or clock.EPOCH, s)
         )
 
+    def most_suspect(self, crash: Crash, limit: int) -> list[Fingerprint]:
+        """Return suspects of a crash, those of several crashes first.
+
+        The others are in an order of the crash's own, so that a cause is not
+        left out of each one.
+        """
+
+        def rank(suspect: Fingerprint) -> tuple[int, datetime.datetime, int]:
+            return (
+                -self.count_crashes(suspect),
+                self.answered_at(suspect) or clock.EPOCH,
+                subset.score(crash.incarnation, suspect),
+            )
+
+        return sorted(crash.suspects, key=rank)[:limit]
+
     def answered_at(
         self, fingerprint: Fingerprint
     ) -> datetime.datetime | None:
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -55,7 +55,8 @@
 MAX_OWN_CRASHES = 8
 """Crashes that this gateway saw itself and may have to write down."""
 
-MAX_REPORTED_SUSPECTS = 6
+MAX_REPORTED_SUSPECTS = 36
+"""Suspects of all crashes in one peer update, shared evenly by these."""
 
 MIN_CRASHES_OF_REQUEST = 2
 """Crashes under the same request after which it is not tried again."""
@@ -417,7 +418,12 @@
         suspects = {s for crash in crashes for s in crash.suspects}
         suspects.update(self._holds, self._cleared)
         return quarantine_report.Report(
-            crashes=tuple(self._crash_report(c, now) for c in crashes),
+            crashes=tuple(
+                self._crash_report(
+                    c, now, MAX_REPORTED_SUSPECTS // len(crashes)
+                )
+                for c in crashes
+            ),
             answer_ages={
                 suspect: now - answered_at
                 for suspect in sorted(suspects)
@@ -448,13 +454,13 @@
         return [crash for crash in self._telling if crash.at >= begin]
 
     def _crash_report(
-        self, crash: crash_evidence.Crash, now: datetime.datetime
+        self, crash: crash_evidence.Crash, now: datetime.datetime, limit: int
     ) -> quarantine_report.CrashReport:
-        suspects = self._evidence.unlikely_last(crash.suspects)
+        suspects = self._evidence.most_suspect(crash, limit)
         return quarantine_report.CrashReport(
             incarnation=crash.incarnation,
             age=now - crash.at,
-            suspects=tuple(suspects[:MAX_REPORTED_SUSPECTS]),
+            suspects=tuple(suspects),
         )
 
     def receive(
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -399,3 +399,30 @@
     else:
         assert len(tried) == 1
         assert gateways.held(request_with(body=b'x')) == [True] * 3
+
+
+@pytest.mark.parametrize('gateway_count', [1, 3, 8])
+def test_a_request_among_many_suspects_is_known_to_all_gateways(
+    gateway_count: int,
+) -> None:
+    """An update tells some suspects of a crash only."""
+    for bad in range(8):
+        gateways = Gateways(gateway_count)
+        for number in range(4):
+            suspects = [
+                *request_with(body=b'bad %d' % bad).early(),
+                *(
+                    fingerprint
+                    for other in range(12)
+                    for fingerprint in request_with(
+                        body=b'%d %d %d' % (bad, number, other)
+                    ).early()
+                ),
+            ]
+            gateways.all[number % gateway_count].record_crash(
+                f'w-{number}', suspects, gateways.now
+            )
+            gateways.wait()
+        gateways.wait()
+        held = gateways.held(request_with(body=b'bad %d' % bad))
+        assert held == [True] * gateway_count
