Take an endpoint to have ended once two connections failed

A probe that fails once is weak evidence: on a link that loses packets the one that opens the connection may be lost.

--- a/src/aspenfold/_internal/gateway/endpoint_connection.py
+++ b/src/aspenfold/_internal/gateway/endpoint_connection.py
@@ -8,6 +8,11 @@
 accepts; the longest round trip between zones is 3 ms."""
 
 
+PROBE_ATTEMPTS = 2
+"""Connections tried before an endpoint is taken to have ended: the packet that
+opens one may be lost."""
+
+
 async def connect(listing: directory.Listing) -> http1_client.Connection:
     """Connect to an endpoint; raises ``http1_client.NotConnected``."""
     return await http1_client.connect(
@@ -17,9 +22,11 @@
 
 async def is_listening(listing: directory.Listing) -> bool:
     """Return whether the endpoint accepts a connection; send nothing."""
-    try:
-        connection = await connect(listing)
-    except http1_client.NotConnected:
-        return False
-    connection.close()
-    return True
+    for _ in range(PROBE_ATTEMPTS):
+        try:
+            connection = await connect(listing)
+        except http1_client.NotConnected:
+            continue
+        connection.close()
+        return True
+    return False
--- a/tests/unit/test_start_ledger.py
+++ b/tests/unit/test_start_ledger.py
@@ -1,15 +1,19 @@
 """What was begun under a start of an endpoint, until it ends."""
 
+import asyncio
 import datetime
 
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 
+from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_connection
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock
+from aspenfold._internal.network import http1_client
 from aspenfold._internal.network import http1_server
 
 SECOND = datetime.timedelta(seconds=1)
@@ -250,3 +254,29 @@
         elif step == 'finish' and there[begun.call_id] is None:
             ledger.finish(begun)
             del there[begun.call_id]
+
+
+def test_an_endpoint_has_not_ended_since_one_connection_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """On a lossy link the packet that opens it is lost now and then."""
+    listing = directory.Listing(
+        name='w-1',
+        service='plain',
+        host='127.0.0.1',
+        port=1,
+        zone='zone-a',
+        capacity=1,
+        draining=False,
+    )
+    results = [False, True, False, False]
+
+    async def connect(*_: object) -> http1_client.Connection:
+        if results.pop(0):
+            return http1_client.Connection()
+        raise http1_client.NotConnected('lost')
+
+    monkeypatch.setattr(http1_client, 'connect', connect)
+    assert asyncio.run(endpoint_connection.is_listening(listing))
+    assert not asyncio.run(endpoint_connection.is_listening(listing))
+    assert not results
