--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -236,14 +236,9 @@
         return found
 
     def count_running(self, fingerprint: Fingerprint) -> int:
-        """Return how many requests with it are at starts that live on.
-
-        One that is silent since may have ended.
-        """
+        """Return how many requests with it are at starts now."""
         return sum(
-            one.stopped_at is None
-            and start.heard_at - one.sent_at >= MIN_SILENCE
-            and fingerprint in one.find_suspects()
+            one.stopped_at is None and fingerprint in one.find_suspects()
             for start in self._starts.values()
             for one in start.begun
         )
