Start no look at an endpoint while a gateway ends

Cause: at the end of a drain the loop cancels all tasks at once.

A gateway whose drain has ended starts no such look any more.

--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -51,8 +51,13 @@
         self._probes = asyncio.Semaphore(MAX_PROBES)
         self._tasks: set[asyncio.Task[object]] = set()
         self._checked: set[str] = set()
+        self._closed = False
         endpoint_directory.on_start_ended = self.record_replaced
 
+    def close(self) -> None:
+        """Begin no further look: attempts are cancelled as the loop ends."""
+        self._closed = True
+
     def begin(
         self,
         call: call_module.Call,
@@ -177,7 +182,7 @@
 
     def _doubt(self, endpoint: directory.Endpoint, start: str) -> None:
         """Look, in the background, whether a start of an endpoint ended."""
-        if start in self._checked:
+        if self._closed or start in self._checked:
             return
         if self._ledger.time_to_check(start, self._clock.now()) is None:
             return
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -357,6 +357,7 @@
         if self._leadership_task is not None:
             self._leadership_task.cancel()
         self._tasks.cancel()
+        self._core.crash_watch.close()
         servers = (
             self._caller_server,
             self._health_server,
@@ -405,6 +406,7 @@
                 in_flight=self._in_flight,
             )
         self._tasks.cancel()
+        self._core.crash_watch.close()
         for server in (
             self._health_server,
             self._metrics_server,
--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -118,7 +118,10 @@
         )
     )
     process = await asyncio.create_subprocess_exec(
-        *PROGRAM, env=environment(path), stdout=subprocess.PIPE
+        *PROGRAM,
+        env=environment(path),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
     )
     try:
         await wait_ready(health)
@@ -197,6 +200,29 @@
     asyncio.run(run())
 
 
+def test_a_request_that_is_cut_at_the_end_leaves_no_task(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Its attempt is cancelled with all else, and can't look after it."""
+
+    async def run() -> bytes:
+        async with running_program(tmp_path) as program:
+            program.worker.script = workers.never_respond
+            _, writer = await asyncio.open_connection(
+                ADDRESS, program.callers_port
+            )
+            writer.write(program.rig.request_head('/safe/')[1])
+            await rigs.wait_until(lambda: program.worker.executions)
+            program.process.send_signal(signal.SIGTERM)
+            _, errors = await asyncio.wait_for(
+                program.process.communicate(), rigs.TIMEOUT_S
+            )
+            writer.close()
+            return errors
+
+    assert asyncio.run(run()) == b''
+
+
 def test_program_serves_reloads_and_drains(tmp_path: pathlib.Path) -> None:
     """Repeated SIGTERMs must not truncate the stream in flight."""
     status, output = asyncio.run(run_program(tmp_path))
