Tell in linear time whether a stream broke off inside an event

It is asked at the end of each stream, on the loop.

The pattern is possessive now: a line is matched in one way, and each byte is looked at once.

--- a/src/aspenfold/_internal/network/event_splitter.py
+++ b/src/aspenfold/_internal/network/event_splitter.py
@@ -13,7 +13,10 @@
 MEDIA_TYPE = 'text/event-stream'
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n|\r\r')
-_NO_FIELDS = re.compile(rb'(?:(?::[^\r\n]*)?(?:\r\n|\r|\n))*')
+
+# Possessive, so that a line is matched in one way only: else the time doubles
+# with each line that ends in CR LF.
+_NO_FIELDS = re.compile(rb'(?:(?::[^\r\n]*+)?+(?>\r\n|\r|\n))*+')
 
 
 def is_event_stream(content_type: str) -> bool:
--- a/tests/functional/test_gateway_response_ends.py
+++ b/tests/functional/test_gateway_response_ends.py
@@ -11,6 +11,7 @@
 from aspenfold._internal.observability import events
 from aspenfold.platform import endpoint_records
 from tests.lib import gateway_rig as rigs
+from tests.lib import time_limits
 
 EVENTS = [workers.event_bytes(n) for n in range(1, 11)]
 STREAM = b''.join(EVENTS)
@@ -76,6 +77,22 @@
     assert line['unfinished_bytes'] == len(EVENTS[-1]) - 5
 
 
+def test_a_stream_that_breaks_off_behind_comments_stops_no_other() -> None:
+    """The gateway looked for the end of the event, and at nothing else."""
+    content = b': reading the prompt\r\n' * 40 + b'id: 1\r\ndata: pi'
+
+    async def scenario(rig: rigs.Rig) -> None:
+        script = broken_off(content=content, size=len(content))
+        await rig.add_worker('w-1', script)
+        await rig.wait_until_ready()
+        assert (await rig.request('/song/', body='x')).status == 502
+        rig.workers[0].script = workers.complete
+        assert (await rig.request('/safe/')).status == 200
+
+    with time_limits.cpu_limit(rigs.TIMEOUT_S):
+        run_scenario(scenario)
+
+
 def find_cases(
     check: abc.Callable[..., abc.Awaitable[bool]],
     cases: list[tuple[object, ...]],
--- a/tests/unit/test_event_splitter.py
+++ b/tests/unit/test_event_splitter.py
@@ -7,11 +7,15 @@
 import pytest
 
 from aspenfold._internal.network import event_splitter
+from tests.lib import time_limits
 
 LINE_ENDS = [b'\n', b'\r\n', b'\r']
 
 COMMENT = ': kept alive'
 
+MAX_STALL_S = 0.5
+"""Time after its timeout by which a request has an answer."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Stream:
@@ -91,6 +95,18 @@
     assert not missing
 
 
+@pytest.mark.parametrize('line_end', LINE_ENDS)
+@pytest.mark.parametrize('comment', [COMMENT, ''])
+def test_a_stream_that_breaks_off_behind_comments_stops_nothing(
+    comment: str, line_end: bytes
+) -> None:
+    """Whether it did was found out in time that doubled with each line."""
+    splitter = event_splitter.EventSplitter()
+    splitter.feed((comment.encode() + line_end) * 10_000 + b'data: te')
+    with time_limits.cpu_limit(MAX_STALL_S):
+        assert splitter.is_inside_event
+
+
 @pytest.mark.parametrize(
     ('content_type', 'expected'),
     [
