--- a/src/aspenfold/_internal/network/event_splitter.py
+++ b/src/aspenfold/_internal/network/event_splitter.py
@@ -13,6 +13,7 @@
 MEDIA_TYPE = 'text/event-stream'
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n|\r\r')
+_MAX_EVENT_END_BYTES = 4
 
 # Possessive, so that a line is matched in one way only: else the time doubles
 # with each line that ends in CR LF.
@@ -26,18 +27,21 @@
 
 
 class EventSplitter:
-    """Splits the bytes of one stream into events.
-
-    ``unfinished`` holds the bytes behind the last whole event.
-    """
+    """Splits the bytes of one stream into events."""
 
     def __init__(self) -> None:
-        self.unfinished = b''
+        self._unfinished = bytearray()
+        self._search_from = 0
+
+    @property
+    def unfinished(self) -> bytes:
+        """The bytes behind the last whole event."""
+        return bytes(self._unfinished)
 
     @property
     def is_oversized(self) -> bool:
         """Whether the unfinished bytes exceed MAX_EVENT_BYTES."""
-        return len(self.unfinished) > MAX_EVENT_BYTES
+        return len(self._unfinished) > MAX_EVENT_BYTES
 
     @property
     def is_inside_event(self) -> bool:
@@ -45,15 +49,20 @@
 
         Blank lines and whole comment lines may follow the last event.
         """
-        return _NO_FIELDS.fullmatch(self.unfinished) is None
+        return _NO_FIELDS.fullmatch(self._unfinished) is None
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the events that ``data`` completes."""
-        self.unfinished += data
+        buffer = self._unfinished
+        buffer += data
         events: list[bytes] = []
         start = 0
-        for match in _EVENT_END.finditer(self.unfinished):
-            events.append(self.unfinished[start : match.end()])
+        match = _EVENT_END.search(buffer, self._search_from)
+        while match is not None:
+            events.append(bytes(buffer[start : match.end()]))
             start = match.end()
-        self.unfinished = self.unfinished[start:]
+            match = _EVENT_END.search(buffer, start)
+        del buffer[:start]
+        # The end of an event may be cut by the end of the data.
+        self._search_from = max(0, len(buffer) - _MAX_EVENT_END_BYTES + 1)
         return events
--- a/tests/unit/test_event_splitter.py
+++ b/tests/unit/test_event_splitter.py
@@ -16,6 +16,9 @@
 MAX_STALL_S = 0.5
 """Time after its timeout by which a request has an answer."""
 
+STREAM_BYTES = 262_144
+READ_BYTES = 64
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Stream:
@@ -107,6 +110,23 @@
         assert splitter.is_inside_event
 
 
+@hypothesis.given(
+    st.lists(
+        st.sampled_from([b'\r', b'\n', b':', b'x']), min_size=1, max_size=4
+    )
+)
+@hypothesis.example([b'x'])
+@hypothesis.example([b':', b'\r', b'\n'])
+def test_a_stream_in_small_reads_stops_nothing(unit: list[bytes]) -> None:
+    """Each read searched all that was unfinished, once more."""
+    content = b''.join(unit) * (STREAM_BYTES // len(unit)) + b'x'
+    splitter = event_splitter.EventSplitter()
+    with time_limits.cpu_limit(MAX_STALL_S):
+        for start in range(0, len(content), READ_BYTES):
+            splitter.feed(content[start : start + READ_BYTES])
+        assert splitter.is_inside_event
+
+
 @pytest.mark.parametrize(
     ('content_type', 'expected'),
     [
