Compare event ids of any length

Found by a look at each place that parses bytes of others; the others hold (lengths, deadlines, prompt headers).

The new test failed before.

--- a/src/aspenfold/_internal/gateway/event_stream.py
+++ b/src/aspenfold/_internal/gateway/event_stream.py
@@ -57,5 +57,11 @@
     if not last_id:
         return True
     if event_id.isdigit() and last_id.isdigit():
-        return int(event_id) > int(last_id)
+        return _order(event_id) > _order(last_id)
     return event_id != last_id
+
+
+def _order(digits: bytes) -> tuple[int, bytes]:
+    """Return what orders numbers, of which int() takes no long ones."""
+    significant = digits.lstrip(b'0')
+    return len(significant), significant
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -68,6 +68,22 @@
     assert forwarded == b''.join(events)
 
 
+@hypothesis.given(
+    st.integers(0, 10**6), st.integers(0, 10**6), st.integers(0, 5_000)
+)
+def test_ids_of_any_length_are_compared_as_numbers(
+    last: int, following: int, zeros: int
+) -> None:
+    """An id of more digits than int() takes ended the stream."""
+    long = b'0' * zeros + b'%d' % following + b'0' * 5_000
+    events = [b'id: %d\n\n' % last, b'id: %d\n\n' % following]
+    events.append(b'id: ' + long + b'\n\n')
+    stream = event_stream.EventStream()
+    expected = events[0] + events[1] * (following > last)
+    expected += events[2] * (following > 0)
+    assert stream.feed(b''.join(events)) == expected
+
+
 def plan_of(routes: list[dict[str, object]]) -> bytes:
     """Return a configuration in the platform's encoding."""
     base = {
