Find the id of an event whose lines end in CR

Callers saw: an event twice, if its stream is resumed and its lines end in a lone CR, which the standard allows, and the id is not its first line.

Cause: the pattern for ids used MULTILINE, which begins a line behind LF only. Of the new test's three rows the one with CR failed before.

--- a/src/aspenfold/_internal/gateway/event_stream.py
+++ b/src/aspenfold/_internal/gateway/event_stream.py
@@ -8,8 +8,9 @@
 
 from aspenfold._internal.network import event_splitter
 
-_FIELD = re.compile(rb'^[^:\r\n]', re.MULTILINE)
-_ID_FIELD = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
+# MULTILINE knows no CR as a line end.
+_FIELD = re.compile(rb'(?:\A|[\r\n])[^:\r\n]')
+_ID_FIELD = re.compile(rb'(?:\A|[\r\n])id:[ ]?([^\r\n]*)')
 
 
 class EventStream:
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -68,6 +68,18 @@
     assert forwarded == b''.join(events)
 
 
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+def test_an_id_is_found_behind_any_line(line_end: bytes) -> None:
+    """Behind a CR it was not, so that a resumed stream repeated the event."""
+    lines = [b': kept alive', b'data: text', b'id: 7', b'', b'']
+    event = line_end.join(lines)
+    stream = event_stream.EventStream()
+    assert stream.feed(event) == event
+    assert stream.last_id == b'7'
+    stream.begin_attempt()
+    assert not stream.feed(event)
+
+
 @hypothesis.given(
     st.integers(0, 10**6), st.integers(0, 10**6), st.integers(0, 5_000)
 )
