Wait at the end for bytes that the system has not taken

Cause: a drain ended once no handler ran. A buffered answer is written at once, and its handler ends while up to 4 MiB are still in the transport's buffer; what the system had not taken was lost with the process, with half of the grace period left. Class: what is due is counted by the one who makes it, not by the one who still has it.

The server counts now: a connection is busy while a response is due, or while its transport has bytes. Gateway and rank agent, which had a count of handlers each, ask it. A request that was read just before the drain's check is counted as well; its handler has not begun then.

--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -423,6 +423,14 @@
         """Whether no request is being received or served."""
         return self._task is None and not self._receiving
 
+    @property
+    def busy(self) -> bool:
+        """Whether a response is due, or the system has yet to take some."""
+        transport = self._transport
+        return self._task is not None or (
+            transport is not None and transport.get_write_buffer_size() > 0
+        )
+
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
         if self.idle and self._transport is not None:
@@ -462,6 +470,10 @@
         )
         return int(self._server.sockets[0].getsockname()[1])
 
+    def count_busy(self) -> int:
+        """Return how many connections would be cut if the process ended."""
+        return sum(connection.busy for connection in self.connections)
+
     def close_idle(self) -> None:
         """Close the connections that are idle."""
         for connection in list(self.connections):
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -143,14 +143,13 @@
         self._health_server = self._create_server(self._send_health)
         self._metrics_server = self._create_server(self._send_metrics)
         self._relay_server = self._create_server(self._publisher.handle)
-        self._in_flight = 0
         gateway_metrics.register(
             core=self._core,
             feeds=self._feeds,
             selection=self._selection,
             publisher=self._publisher,
             leadership=self._leadership,
-            in_flight=lambda: self._in_flight,
+            in_flight=self._caller_server.count_busy,
         )
 
     def _create_server(
@@ -280,14 +279,10 @@
         request: http1_server.Request,
         response: http1_server.ResponseWriter,
     ) -> None:
-        self._in_flight += 1
-        try:
-            exchange = exchange_module.Exchange(
-                core=self._core, request=request, response=response
-            )
-            await exchange.run()
-        finally:
-            self._in_flight -= 1
+        exchange = exchange_module.Exchange(
+            core=self._core, request=request, response=response
+        )
+        await exchange.run()
 
     @property
     def ready(self) -> bool:
@@ -388,22 +383,23 @@
         events.emit(
             events.Event.DRAINING,
             name=self._cfg.name,
-            in_flight=self._in_flight,
+            in_flight=self._caller_server.count_busy(),
         )
         resign_task = self._tasks.spawn(self._resign())
         await asyncio.sleep(min(BALANCER_DELAY_S, self._cfg.grace_s / 2))
         self._core.refusing = True
         self._caller_server.close()
         while loop.time() < drain_deadline:
-            if not self._in_flight and resign_task.done():
+            if not self._caller_server.count_busy() and resign_task.done():
                 break
             self._caller_server.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        if self._in_flight:
+        in_flight = self._caller_server.count_busy()
+        if in_flight:
             events.emit(
                 events.Event.DRAIN_LIMIT,
                 name=self._cfg.name,
-                in_flight=self._in_flight,
+                in_flight=in_flight,
             )
         self._tasks.cancel()
         self._core.crash_watch.close()
--- a/src/aspenfold/_internal/processes/rank_agent.py
+++ b/src/aspenfold/_internal/processes/rank_agent.py
@@ -59,7 +59,6 @@
             clock=clock,
             limits=lambda: plan.DEFAULT_LIMITS,
         )
-        self._in_flight = 0
         self.forwarded = 0
         self.engine_failures = 0
 
@@ -101,15 +100,16 @@
         self._server.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DRAIN_TIMEOUT.total_seconds()):
-                while self._in_flight:
+                while self._server.count_busy():
                     self._server.close_idle()
                     await asyncio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
         self._server.close_idle()
-        if self._in_flight:
+        in_flight = self._server.count_busy()
+        if in_flight:
             events.emit(
                 events.Event.DRAIN_LIMIT,
                 name=self._cfg.name,
-                in_flight=self._in_flight,
+                in_flight=in_flight,
             )
         events.emit(
             events.Event.STOPPED,
@@ -130,11 +130,7 @@
         if not self._is_allowed(request):
             _send_response(response, 404, b'')
             return
-        self._in_flight += 1
-        try:
-            await self._forward(request, response)
-        finally:
-            self._in_flight -= 1
+        await self._forward(request, response)
 
     async def _forward(
         self,
--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 
+from aspenfold_standins import http11
 from aspenfold_standins import platform_worker as workers
 import pytest
 
@@ -31,6 +32,14 @@
 ]
 
 
+LARGE_BYTES = 4_000_000
+ETHERNET_MSS = 1_460
+
+READ_AFTER_S = 1.6
+"""Between the end of the balancer's delay and that of the grace period, as the
+settings of this test have them."""
+
+
 def settings_file(
     *, callers: int, health: int, peers: list[int], store: int
 ) -> dict[str, object]:
@@ -200,6 +209,56 @@
     asyncio.run(run())
 
 
+async def answer_large(
+    worker: workers.Worker, exchange: http11.Exchange
+) -> None:
+    """Execute and respond with nearly as much as a gateway buffers."""
+    worker.record_execution(exchange)
+    headers = worker.response_headers(exchange)
+    await exchange.respond(200, headers, b'x' * LARGE_BYTES)
+
+
+async def open_slow_connection(
+    port: int,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection that takes little before it is read."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_MSS)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (ADDRESS, port))
+    return await asyncio.open_connection(sock=sock)
+
+
+def test_a_response_that_is_being_read_at_the_end_arrives(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Review, case 3: what the gateway had in its buffers was lost."""
+
+    async def run() -> None:
+        async with running_program(tmp_path) as program:
+            program.worker.script = answer_large
+            opened = [
+                await open_slow_connection(program.callers_port)
+                for _ in range(3)
+            ]
+            for _, writer in opened:
+                writer.write(program.rig.request_head('/once/')[1])
+            await rigs.wait_until(lambda: len(program.worker.executions) == 3)
+            program.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(READ_AFTER_S)
+            responses = await asyncio.gather(
+                *(rigs.read_response(reader) for reader, _ in opened)
+            )
+            for _, writer in opened:
+                writer.close()
+            assert [x.complete for x in responses] == [True] * 3
+            assert {len(x.body) for x in responses} == {LARGE_BYTES}
+            assert await program.process.wait() == exit_status.ExitStatus.OK
+
+    asyncio.run(run())
+
+
 def test_a_request_that_is_cut_at_the_end_leaves_no_task(
     tmp_path: pathlib.Path,
 ) -> None:
