Count no request at a silent endpoint for itself, and judge as time passes

Three callers at once repeat a request under which endpoints go silent; the copies that wait there counted as requests that are running well, against holding it, until their attempts stopped.

Cause: what is at an endpoint now speaks against a request, also where the endpoint has not been heard of for a while; and the verdict was renewed with a new crash only, so that it stayed as it was when that changed.

A start that is silent for half a second counts for nothing, and while there are crashes the causes are looked for every 200 ms. A first mend had asked for half a second since the request was sent, which left out those that had just come and let what many ask for be held; these count now.

--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -18,6 +18,7 @@
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.gateway import start_ledger
+from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
 from aspenfold._internal.routing import subset
 
@@ -28,6 +29,9 @@
 """Time from a verdict to its effect, in which peers may clear the suspect:
 some of their updates."""
 
+JUDGEMENT_INTERVAL = datetime.timedelta(milliseconds=200)
+"""How often the causes of known crashes are looked for anew."""
+
 IDLE_DURATION = datetime.timedelta(hours=1)
 """A quarantine ends if no such request came for this long."""
 
@@ -120,7 +124,8 @@
         self._ledger = ledger or start_ledger.StartLedger()
         self._holds: dict[Fingerprint, Hold] = {}
         self._verdicts: dict[Fingerprint, datetime.datetime] = {}
-        self._judged = 0
+        self._judged_version = 0
+        self._judged_at = clock_module.EPOCH
         self._peers: abc.Collection[str] = ()
         self._outlived: dict[str, abc.Mapping[Fingerprint, int]] = {}
         self._own_incarnations: collections.deque[str] = collections.deque(
@@ -350,11 +355,14 @@
         for hold in list(self._holds.values()):
             if hold.ends_at() <= now:
                 self._end(hold, 'no such request came')
-        if not self._verdicts and self._evidence.version == self._judged:
+        if not self._is_judgement_due(now):
             return
-        self._judged = self._evidence.version
+        self._judged_version = self._evidence.version
+        self._judged_at = now
         causes = self._evidence.causes(
-            self._holds, now, count_others=self._count_others
+            self._holds,
+            now,
+            count_others=lambda suspect: self._count_others(suspect, now),
         )
         self._verdicts = {
             cause: self._verdicts.get(cause, now) for cause in causes
@@ -371,19 +379,34 @@
                     )
                 )
 
-    def _count_others(self, fingerprint: Fingerprint) -> int:
+    def _is_judgement_due(self, now: datetime.datetime) -> bool:
+        """Return whether the evidence may have other causes than before.
+
+        It does not only with a new crash: endpoints that have a suspect go
+        silent.
+        """
+        if self._verdicts or self._evidence.version != self._judged_version:
+            return True
+        is_old = now - self._judged_at >= JUDGEMENT_INTERVAL
+        return is_old and bool(self._evidence.crashes)
+
+    def _count_others(
+        self, fingerprint: Fingerprint, now: datetime.datetime
+    ) -> int:
         told = sum(
             counts.get(fingerprint, 0) for counts in self._outlived.values()
         )
-        return told + self._ledger.count_running(fingerprint)
+        return told + self._ledger.count_running(fingerprint, now)
 
     def _count_outlived(
-        self, crashes: abc.Iterable[crash_evidence.Crash]
+        self,
+        crashes: abc.Iterable[crash_evidence.Crash],
+        now: datetime.datetime,
     ) -> dict[Fingerprint, int]:
         """Return how many endpoints outlived, or have, what may be held."""
         return {
             suspect: self._evidence.exposures(suspect)
-            + self._ledger.count_running(suspect)
+            + self._ledger.count_running(suspect, now)
             for crash in crashes
             for suspect in crash.suspects
             if fingerprints.is_request(suspect)
@@ -438,7 +461,7 @@
                 )
                 for hold in self._holds.values()
             },
-            outlived=self._count_outlived(crashes),
+            outlived=self._count_outlived(crashes, now),
         )
 
     def _telling_crashes(
--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -235,11 +235,17 @@
             self._remove(oldest)
         return found
 
-    def count_running(self, fingerprint: Fingerprint) -> int:
-        """Return how many requests with it are at starts now."""
+    def count_running(
+        self, fingerprint: Fingerprint, now: datetime.datetime
+    ) -> int:
+        """Return how many requests with it are at starts that are alive.
+
+        One that is silent may have ended under it.
+        """
         return sum(
             one.stopped_at is None and fingerprint in one.find_suspects()
             for start in self._starts.values()
+            if now - start.heard_at < MIN_SILENCE
             for one in start.begun
         )
 
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -15,6 +15,7 @@
 from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.gateway import settings
+from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import http1_server
 
@@ -77,6 +78,35 @@
         return [one.is_held(request) for one in self.all]
 
 
+@pytest.mark.parametrize('are_silent', [True, False])
+def test_requests_at_silent_endpoints_speak_for_nothing(
+    are_silent: bool,
+) -> None:
+    """Play 65: the copies that waited at them kept the request from a hold."""
+    ledger = start_ledger.StartLedger()
+    one = quarantine.Quarantine(host='g-1', ledger=ledger)
+    bad = request_with(body=b'bad')
+    waiting = [f'w-{number}' for number in range(4)]
+    for name in waiting:
+        ledger.begin(
+            call_id=name,
+            incarnation=name,
+            request=bad,
+            withdraw=lambda: None,
+            now=NOW,
+        )
+    for number in range(3):
+        one.record_crash(f'ended-{number}', bad.early(), NOW)
+    for step in range(1, 14):
+        now = NOW + 0.1 * step * SECOND
+        for name in waiting:
+            if not are_silent:
+                ledger.record_sign(name, now)
+        one.update(now)
+        assert not (step <= 5 and one.is_held(bad))
+    assert one.is_held(bad) is are_silent
+
+
 def test_crashes_at_three_gateways_make_one_verdict_at_all() -> None:
     """None of them has seen more than one."""
     gateways = Gateways(8)
