Look after an endpoint while an attempt waits at it

Whether a start has ended was asked only once an attempt had stopped without an answer; nobody asked while it waited, and an endpoint that is away for as long shows no other start in the list.

A start from which nothing was heard for a second, while a request waits, is looked at, again each second that it stays silent; any sign, also an accepted connection, puts that off, so that busy endpoints get no such look.

One assertion of the ledger's test said that nobody looks while an attempt waits; it says when now.

--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -28,6 +28,9 @@
 MIN_SILENCE = datetime.timedelta(milliseconds=500)
 """Time without a sign of life after which an endpoint may have ended."""
 
+MAX_SILENCE = datetime.timedelta(seconds=1)
+"""The same while an attempt waits, which many do for as long."""
+
 RETENTION = datetime.timedelta(seconds=6)
 """How long a request without an answer is kept after its attempt: until an
 endpoint that was silent and away for some seconds is listed anew."""
@@ -254,17 +257,23 @@
     ) -> datetime.timedelta | None:
         """Return when to look whether a start has ended, from ``now``.
 
-        It is None if nothing is to be found out: no attempt stopped without
-        an answer, or the start was alive for long enough since.
+        It is None if nothing is to be found out: no attempt waits, and the
+        start was alive for long enough since any stopped without an answer.
         """
-        stopped = self._stopped_at_start(incarnation)
-        times = [one.stopped_at for one in stopped if one.stopped_at]
-        if not times:
+        start = self._starts.get(incarnation)
+        if start is None:
             return None
-        heard_at = self._starts[incarnation].heard_at
-        if heard_at - max(times) >= MIN_SILENCE:
+        last_sign = start.heard_at - MIN_SILENCE
+        if any(
+            one.stopped_at is not None and one.stopped_at > last_sign
+            for one in start.begun
+        ):
+            silence = MIN_SILENCE
+        elif any(one.stopped_at is None for one in start.begun):
+            silence = MAX_SILENCE
+        else:
             return None
-        return max(datetime.timedelta(0), heard_at + MIN_SILENCE - now)
+        return max(datetime.timedelta(0), start.heard_at + silence - now)
 
     def end(self, incarnation: str) -> StartEnd:
         """Return who was at a start that has ended, and forget them."""
--- a/tests/functional/test_repeated_crashes.py
+++ b/tests/functional/test_repeated_crashes.py
@@ -20,6 +20,12 @@
     'back-before-the-timeout': crash_plays.Manner(
         ending=Ending.SILENT, timeout_s=8.0, down_s=2.0, listed_s=0.9
     ),
+    'dark-for-longer-than-a-long-timeout': crash_plays.Manner(
+        ending=Ending.SILENT, timeout_s=8.0, down_s=12.0
+    ),
+    'dark-under-two-callers-at-once': crash_plays.Manner(
+        ending=Ending.SILENT, timeout_s=8.0, down_s=12.0, copies=2
+    ),
     'caller-left-before-a-reset': crash_plays.Manner(
         delay_s=0.3, leaves_s=0.15
     ),
--- a/tests/unit/test_start_ledger.py
+++ b/tests/unit/test_start_ledger.py
@@ -200,15 +200,20 @@
     """The time counts from its last sign, in whichever request."""
     ledger = Ledger()
     silence_s = start_ledger.MIN_SILENCE / SECOND
+    waiting_s = start_ledger.MAX_SILENCE / SECOND
     other = ledger.send(b'other', 0)
     left = ledger.send(b'left', 0)
-    assert ledger.time_to_check(START, at(0.1)) is None
+    assert ledger.time_to_check(START, at(0.1)) == (waiting_s - 0.1) * SECOND
     ledger.stop(left, at(0.1))
     assert ledger.time_to_check(START, at(0.1)) == (silence_s - 0.1) * SECOND
     ledger.record_output(other, at(0.4))
     assert ledger.time_to_check(START, at(0.5)) == (silence_s - 0.1) * SECOND
     assert not ledger.time_to_check(START, at(5))
     ledger.record_output(other, at(0.1 + silence_s))
+    assert (
+        ledger.time_to_check(START, at(0.1 + silence_s)) == waiting_s * SECOND
+    )
+    ledger.finish(other)
     assert ledger.time_to_check(START, at(0.1 + silence_s)) is None
 
 
