Handle no request that was refused with 413 or 431

Callers saw: 413, and perhaps a run all the same; the log had an error in plain text for each 431.

Cause: a refusal closes the connection, and the loop that parses went on with what had been read: the end of the refused request started its handler. It stops with the connection now. All three rows of the new test failed before.

--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -202,7 +202,7 @@
             self._reject(exc.error_status_hint or 400)
 
     def _parse_events(self) -> None:
-        while self._task is None and self._transport is not None:
+        while self._task is None and self._is_open():
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 self._send_continue_if_expected()
@@ -216,6 +216,11 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._start_handler()
 
+    def _is_open(self) -> bool:
+        """Return whether nothing has closed the connection, as a refusal."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
+
     def _on_head(self, head: h11.Request) -> None:
         size = sum(len(n) + len(v) + 4 for n, v in head.headers)
         if size + len(head.target) > self._limits.header_bytes:
@@ -283,7 +288,7 @@
         self._send_short_response(500)
 
     def _next_request(self) -> None:
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or not self._is_open():
             return
         parser = self._parser
         if not (
@@ -412,11 +417,10 @@
 
     def _send(self, event: typing.Any) -> None:
         data = self._parser.send(event)
-        transport = self._transport
         # After a failed write the transport is closing, but
         # connection_lost has not been called yet.
-        if data and transport is not None and not transport.is_closing():
-            transport.write(data)
+        if data and self._transport is not None and self._is_open():
+            self._transport.write(data)
 
     @property
     def idle(self) -> bool:
--- a/tests/unit/test_http1_server.py
+++ b/tests/unit/test_http1_server.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import pytest
+
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import http1_server
@@ -66,3 +68,45 @@
         assert b'one' in transport.written
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'body'),
+    [
+        (431, b'X: ' + b'y' * 17_000, b''),
+        (
+            413,
+            b'Transfer-Encoding: chunked',
+            b'500000\r\n' + b'x' * 0x500000 + b'\r\n0\r\n\r\n',
+        ),
+        (413, b'Content-Length: 5000000', b'x' * 5_000_000),
+    ],
+)
+def test_a_refused_request_is_not_handled(
+    status: int, headers: bytes, body: bytes
+) -> None:
+    """Its end may have been read with it, before the connection is closed."""
+    handled: list[http1_server.Request] = []
+
+    async def handler(
+        request: http1_server.Request, response: http1_server.ResponseWriter
+    ) -> None:
+        handled.append(request)
+
+    async def run() -> bytes:
+        transport = FakeTransport()
+        server = http1_server.Server(
+            handler=handler,
+            clock=clock.MonotonicClock(),
+            limits=lambda: plan.DEFAULT_LIMITS,
+        )
+        connection = http1_server.ServerConnection(owner=server)
+        connection.connection_made(typing.cast(typing.Any, transport))
+        head = b'POST / HTTP/1.1\r\nHost: x\r\n' + headers + b'\r\n\r\n'
+        connection.data_received(head + body)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return transport.written
+
+    assert asyncio.run(run()).startswith(b'HTTP/1.1 %d ' % status)
+    assert not handled
