Refuse a body that the gateway has no memory for, before it is read

Cause: each body was read whole and kept to the end of its response, however much the process held already.

A body reserves its length when its head is read, or as its chunks come, from 0.3 of the process's memory (`limits.memory_mb` of its settings), and gives it back with the end of its request. Without room the request is refused unread (503, 1107, Retry-After), so that its caller can go to another gateway at once; the connection is closed 0.2 s later, as a close with unread bytes resets it. Larger bodies leave a tenth of the room to those under 16 KiB. Gauge `body_bytes`.

Open: answers that are buffered, up to 4 MiB each, count nowhere.

--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -43,6 +43,7 @@
     ENDPOINTS_AT_LIMIT = 1104
     ENDPOINTS_BACKED_OFF = 1105
     QUARANTINED = 1106
+    NO_MEMORY = 1107
     NO_ENDPOINT = 1200
     DRAINING = 1201
     DEADLINE_PASSED = 1202
@@ -98,6 +99,8 @@
     'while; retry after `Retry-After`',
     Code.QUARANTINED: 'endpoints ended under requests like this one; it was '
     'not sent to another',
+    Code.NO_MEMORY: 'the gateway has no memory left for the body of the '
+    'request; retry on another connection',
     Code.NO_ENDPOINT: 'no endpoint of the service accepts requests',
     Code.DRAINING: 'the entry or the endpoint is shutting down',
     Code.DEADLINE_PASSED: 'the deadline passed before the call started',
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -5,6 +5,7 @@
 import random
 
 from aspenfold._internal.gateway import admission
+from aspenfold._internal.gateway import body_budget
 from aspenfold._internal.gateway import crash_watch
 from aspenfold._internal.gateway import directory as directory_module
 from aspenfold._internal.gateway import endpoint_statement
@@ -66,6 +67,7 @@
             endpoint_directory=self.directory,
         )
         self.metrics = metrics_module.Metrics()
+        self.body_budget = body_budget.for_memory(cfg.memory_bytes)
         self.statement_recorder = statement_recorder.StatementRecorder(
             endpoint_directory=self.directory,
             limits=self.rate_limits,
--- a/src/aspenfold/_internal/gateway/refusal.py
+++ b/src/aspenfold/_internal/gateway/refusal.py
@@ -16,6 +16,7 @@
     Code.ENDPOINTS_AT_LIMIT: 503,
     Code.ENDPOINTS_BACKED_OFF: 503,
     Code.QUARANTINED: 503,
+    Code.NO_MEMORY: 503,
     Code.DRAINING: 503,
     Code.GROUP_DOWN: 503,
     Code.ENDPOINT_LOST: 502,
@@ -36,6 +37,7 @@
     Code.GROUP_DOWN: datetime.timedelta(seconds=10),
     # Another process accepts the next connection.
     Code.DRAINING: datetime.timedelta(milliseconds=50),
+    Code.NO_MEMORY: datetime.timedelta(milliseconds=50),
 }
 """Delay after which a retry can succeed, by result code."""
 
--- a/src/aspenfold/_internal/gateway/settings.py
+++ b/src/aspenfold/_internal/gateway/settings.py
@@ -24,7 +24,7 @@
     hosts without callers.  After SIGTERM the process has ``grace_s``
     seconds to exit.  All gateways together may retry ``retry_ratio`` of
     the requests plus ``retry_slack`` in each window that the platform
-    measures.
+    measures.  A process that has more than ``memory_bytes`` is killed.
     """
 
     name: str
@@ -39,6 +39,7 @@
     grace_s: float
     retry_ratio: float
     retry_slack: float
+    memory_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -35,6 +35,9 @@
 TCP_USER_TIMEOUT_MS = 10_000
 """The connection is reset if sent bytes stay unacknowledged for longer."""
 
+UNREAD_CLOSE_DELAY = datetime.timedelta(milliseconds=200)
+"""Time for a caller to read the response to a request that is not read."""
+
 LINGER_RESET = struct.pack('ii', 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
 
@@ -104,11 +107,37 @@
 RequestHandler = abc.Callable[[Request, ResponseWriter], abc.Awaitable[None]]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """A response to a request whose body is not read."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class BodyLimit(typing.Protocol):
+    """Decides which bodies are read, by the memory that they take."""
+
+    def reserve(
+        self, size: int, *, total: int, headers: Headers
+    ) -> Refusal | None:
+        """Reserve ``size`` more bytes of a body, ``total`` with these.
+
+        ``headers`` are the request's.  Return the response if there is no
+        room.
+        """
+
+    def release(self, size: int) -> None:
+        """Give back what was reserved for a request."""
+
+
 class ConnectionOwner(typing.Protocol):
     """The server as its connections use it."""
 
     clock: clock_module.Clock
     handler: RequestHandler
+    bodies: BodyLimit | None
     closing: bool
     connections: 'set[ServerConnection]'
 
@@ -128,6 +157,7 @@
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_size = 0
+        self._reserved = 0
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._request_count = 0
@@ -136,6 +166,7 @@
         self._writable.set()
         self._remote_ip = ''
         self._resets_on_close = False
+        self._refused = False
         self.started = False
 
     def _new_parser(self) -> h11.Connection:
@@ -184,8 +215,12 @@
         self._stop_timer()
         self._writable.set()
         self._transport = None
-        if self._task is not None:
-            self._task.cancel()
+        if self._task is None:
+            self._drop_body()
+            return
+        # A task that is cancelled before its first step does nothing itself.
+        self._task.add_done_callback(lambda _: self._drop_body())
+        self._task.cancel()
 
     def pause_writing(self) -> None:
         """Make :meth:`drain` wait."""
@@ -219,7 +254,11 @@
     def _is_open(self) -> bool:
         """Return whether nothing has closed the connection, as a refusal."""
         transport = self._transport
-        return transport is not None and not transport.is_closing()
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and not self._refused
+        )
 
     def _on_head(self, head: h11.Request) -> None:
         size = sum(len(n) + len(v) + 4 for n, v in head.headers)
@@ -229,20 +268,64 @@
         self._head = head
         self._body = []
         self._body_size = 0
+        length = 0
         for name, value in head.headers:
-            too_large = (
-                name == b'content-length'
-                and int(value) > self._limits.body_bytes
-            )
-            if too_large:
-                self._reject(413)
+            if name == b'content-length':
+                length = int(value)
+        if length > self._limits.body_bytes:
+            self._reject(413)
+            return
         self._start_timer(self._limits.idle_timeout)
+        self._reserve(length)
 
     def _on_body(self, data: bytes) -> None:
         self._body.append(bytes(data))
         self._body_size += len(data)
         if self._body_size > self._limits.body_bytes:
             self._reject(413)
+        elif self._body_size > self._reserved:
+            self._reserve(self._body_size - self._reserved)
+
+    def _reserve(self, size: int) -> None:
+        """Reserve memory for a body, or refuse the request unread."""
+        bodies = self._owner.bodies
+        head = self._head
+        if bodies is None or head is None or not size:
+            return
+        refusal = bodies.reserve(
+            size, total=self._reserved + size, headers=list(head.headers)
+        )
+        if refusal is None:
+            self._reserved += size
+            return
+        self._stop_timer()
+        self._drop_body()
+        self._send_whole_response(
+            refusal.status, refusal.headers, refusal.body
+        )
+        self._close_unread()
+
+    def _drop_body(self) -> None:
+        self._body = []
+        if self._owner.bodies is not None:
+            self._owner.bodies.release(self._reserved)
+        self._reserved = 0
+
+    def _close_unread(self) -> None:
+        """Close a connection whose request is not read to its end.
+
+        A close resets it if bytes are unread, and the response may be lost
+        then, so that the caller gets some time to read it.
+        """
+        transport = self._transport
+        if transport is None:
+            return
+        transport.pause_reading()
+        transport.write_eof()
+        self._refused = True
+        self._loop.call_later(
+            UNREAD_CLOSE_DELAY.total_seconds(), transport.close
+        )
 
     def _send_continue_if_expected(self) -> None:
         if self._parser.they_are_waiting_for_100_continue:
@@ -279,6 +362,7 @@
             self._send_internal_error()
         finally:
             self._task = None
+            self._drop_body()
         self._next_request()
 
     def _send_internal_error(self) -> None:
@@ -307,6 +391,7 @@
     def _reject(self, status: int) -> None:
         """Respond to an invalid request with ``status``, and close."""
         self._stop_timer()
+        self._drop_body()
         if not self.started:
             self._send_short_response(status)
         if self._transport is not None:
@@ -314,14 +399,21 @@
 
     def _send_short_response(self, status: int) -> None:
         phrase = http.HTTPStatus(status).phrase.encode()
+        self._send_whole_response(status, [], phrase)
+
+    def _send_whole_response(
+        self, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Send a short text, the last response of the connection."""
         headers = [
-            (b'content-length', str(len(phrase)).encode()),
+            *headers,
+            (b'content-length', str(len(body)).encode()),
             (b'content-type', b'text/plain'),
             (b'connection', b'close'),
         ]
         try:
             self.start(status, headers)
-            self.write(phrase)
+            self.write(body)
             self.end()
         except h11.LocalProtocolError:
             # h11 accepts no response in this state.
@@ -454,8 +546,11 @@
         handler: RequestHandler,
         clock: clock_module.Clock,
         limits: abc.Callable[[], plan.Limits],
+        bodies: BodyLimit | None = None,
     ) -> None:
+        """``bodies`` is None where all bodies are small."""
         self.handler = handler
+        self.bodies = bodies
         self.clock = clock
         self.limits = limits
         self.closing = False
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -5,6 +5,7 @@
 import secrets
 import signal
 
+from aspenfold._internal.gateway import body_gate
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import exchange as exchange_module
 from aspenfold._internal.gateway import group_monitor
@@ -139,7 +140,9 @@
         self.health_port = 0
         self.metrics_port = 0
         self.relay_port = 0
-        self._caller_server = self._create_server(self._handle_request)
+        self._caller_server = self._create_server(
+            self._handle_request, body_gate.BodyGate(core=self._core)
+        )
         self._health_server = self._create_server(self._send_health)
         self._metrics_server = self._create_server(self._send_metrics)
         self._relay_server = self._create_server(self._publisher.handle)
@@ -153,10 +156,13 @@
         )
 
     def _create_server(
-        self, handler: http1_server.RequestHandler
+        self,
+        handler: http1_server.RequestHandler,
+        bodies: http1_server.BodyLimit | None = None,
     ) -> http1_server.Server:
         return http1_server.Server(
             handler=handler,
+            bodies=bodies,
             clock=self._clock,
             limits=lambda: self._core.limits,
         )
--- a/src/aspenfold/platform/settings.py
+++ b/src/aspenfold/platform/settings.py
@@ -20,6 +20,8 @@
 """
 
 
+BYTES_PER_MB = 1_000_000
+
 READ_ATTEMPTS = 11
 
 READ_RETRY_DELAY_S = 0.05
@@ -45,6 +47,10 @@
     retry_budget_slack: float = 90
 
 
+class _Limits(_WireModel):
+    memory_mb: float = pydantic.Field(default=300, gt=0)
+
+
 class _Store(_WireModel):
     address: str
 
@@ -71,6 +77,7 @@
 class _File(_Host):
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     platform: _Store
 
 
@@ -111,6 +118,7 @@
         grace_s=data.bounds.grace_s,
         retry_ratio=data.bounds.retry_budget_ratio,
         retry_slack=data.bounds.retry_budget_slack,
+        memory_bytes=int(data.limits.memory_mb * BYTES_PER_MB),
     )
 
 
--- /dev/null
+++ b/tests/functional/test_gateway_memory.py
@@ -0,0 +1,113 @@
+"""A gateway whose memory is full of bodies."""
+
+import asyncio
+from collections import abc
+
+from aspenfold_standins import platform_worker as workers
+
+from tests.lib import gateway_rig as rigs
+
+LARGE_BYTES = 200_000
+MEMORY_BYTES = 1_000_000
+"""Its part for bodies has room for one large one."""
+
+LIMITS = {
+    'max_header_bytes': 4_096,
+    'max_body_bytes': LARGE_BYTES,
+    'header_timeout_ms': 400,
+    'idle_timeout_ms': 3_000,
+}
+
+
+def run_scenario(
+    scenario: abc.Callable[[rigs.Rig], abc.Awaitable[None]],
+) -> None:
+    """Run a scenario at a gateway with little memory and one endpoint."""
+
+    async def run() -> None:
+        plan = rigs.make_plan(limits=LIMITS)
+        async with rigs.running_rig(plan, MEMORY_BYTES) as rig:
+            await rig.add_worker('w-1')
+            await rig.wait_until_ready()
+            await scenario(rig)
+
+    asyncio.run(run())
+
+
+async def held_bytes(rig: rigs.Rig) -> float:
+    """Return the gateway's gauge of bytes that bodies take."""
+    text = (await rigs.metrics(rig)).decode()
+    (line,) = [
+        x for x in text.splitlines() if x.startswith('aspenfold_body_bytes ')
+    ]
+    return float(line.split()[1])
+
+
+async def send_to_silent_endpoint(
+    rig: rigs.Rig,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a large body that its endpoint doesn't answer."""
+    worker = rig.workers[0]
+    worker.script = workers.never_respond
+    reader, writer = await rig.connect()
+    body = 'x' * LARGE_BYTES
+    _, head = rig.request_head('/once/', body=body)
+    writer.write(head + body.encode())
+    await rigs.wait_until(lambda: worker.executions)
+    worker.script = workers.complete
+    return reader, writer
+
+
+def chunked(head: bytes) -> bytes:
+    """Return a head whose body has no length."""
+    lines = head.split(b'\r\n')
+    kept = [x for x in lines if not x.startswith(b'Content-Length')]
+    return b'\r\n'.join([*kept[:-2], b'Transfer-Encoding: chunked', b'', b''])
+
+
+def test_a_body_without_room_is_refused_unread() -> None:
+    """Issue 33, RECOVER: bodies filled the memory, and the process ended."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        _, writer = await send_to_silent_endpoint(rig)
+        _, head = rig.request_head('/once/', body='x' * LARGE_BYTES)
+        refused = await rig.send(head)
+        assert refused.status == 503
+        assert refused.body.startswith(b'[1107]')
+        assert float(refused.headers['retry-after']) > 0
+        part = b'%x\r\n' % 150_000 + b'x' * 150_000 + b'\r\n'
+        refused = await rig.send(chunked(head) + part)
+        assert refused.body.startswith(b'[1107]')
+        small = await rig.request('/once/', body='x' * 9_000)
+        assert small.status == 200
+        assert await held_bytes(rig) == LARGE_BYTES
+        writer.close()
+        while await held_bytes(rig):
+            await asyncio.sleep(0.01)
+        large = await rig.request('/once/', body='x' * LARGE_BYTES)
+        assert large.status == 200
+        assert len(rig.workers[0].requests) == 3
+
+    run_scenario(scenario)
+
+
+def test_what_a_body_took_is_given_back_however_its_request_ends() -> None:
+    """Answered, refused, broken off inside, or left by its caller."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        body = 'x' * 50_000
+        _, head = rig.request_head('/once/', body=body)
+        assert (await rig.request('/once/', body=body)).status == 200
+        assert (await rig.request('/nowhere/', body=body)).status == 404
+        too_long = head.replace(b'50000', b'900000')
+        assert (await rig.send(too_long)).status == 413
+        for sent in (head, head + b'x' * 9, head + body.encode()):
+            _, writer = await rig.connect()
+            writer.write(sent)
+            await asyncio.sleep(0.02)
+            writer.close()
+        async with asyncio.timeout(rigs.TIMEOUT_S):
+            while await held_bytes(rig):
+                await asyncio.sleep(0.01)
+
+    run_scenario(scenario)
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -30,6 +30,8 @@
 TIMEOUT_S = 10.0
 """Limit of each wait, so that a failing test ends."""
 
+MEMORY_BYTES = 300_000_000
+
 SECOND = datetime.timedelta(seconds=1)
 
 
@@ -97,6 +99,7 @@
     address: str = LOOPBACK,
     peer_port: int = 0,
     agent_port: int = 0,
+    memory_bytes: int = MEMORY_BYTES,
 ) -> gateway.GatewayProcess:
     """Return a gateway, not started, that reads a store on loopback."""
     any_port = settings.TcpAddress(host=address, port=0)
@@ -113,6 +116,7 @@
         grace_s=2.0,
         retry_ratio=0.2,
         retry_slack=90.0,
+        memory_bytes=memory_bytes,
     )
     return gateway.GatewayProcess(
         cfg=cfg,
@@ -153,9 +157,11 @@
         """Write a plan to the store."""
         await self.store.put(config.TOPIC, config.KEY, plan)
 
-    async def start(self) -> None:
+    async def start(self, memory_bytes: int = MEMORY_BYTES) -> None:
         """Create and start the gateway."""
-        self.gateway = make_gateway(store_port=self.store.port)
+        self.gateway = make_gateway(
+            store_port=self.store.port, memory_bytes=memory_bytes
+        )
         await self.gateway.start()
 
     async def wait_until_ready(self) -> None:
@@ -290,13 +296,14 @@
 @contextlib.asynccontextmanager
 async def running_rig(
     plan: dict[str, object] | None = None,
+    memory_bytes: int = MEMORY_BYTES,
 ) -> abc.AsyncIterator[Rig]:
     """Yield a rig with a running gateway and no endpoints."""
     rig = Rig()
     await rig.store.start()
     await rig.write_plan(plan or make_plan())
     try:
-        await rig.start()
+        await rig.start(memory_bytes)
         yield rig
     finally:
         await close(rig)
