Let a gateway that gets most callers use what peers leave of a limit

Cause: a gateway used three times its equal part of a limit at most, whatever its peers used. That bounds the total while counts are on the way, and left half of the limit idle.

The part grows now, by the factor 2 in a second, while a gateway uses all of it and the whole limit has room; each request of a peer takes as much from it, and a second without requests sets it back. So nobody starts with more than before, and of several that surge none grows once their counts are known.

--- a/src/aspenfold/_internal/gateway/endpoint_rate_limit.py
+++ b/src/aspenfold/_internal/gateway/endpoint_rate_limit.py
@@ -11,9 +11,16 @@
 MIN_RATE_BURST = 1.0
 """The same for an endpoint with a limit below MIN_RATE."""
 
-MAX_SHARE_FACTOR = 3.0
-"""How much more than its equal part of a limit one gateway may use, since
-callers are distributed unevenly."""
+BASE_SHARE_FACTOR = 3.0
+"""How much more than its equal part of a limit one gateway may use at once,
+since callers are distributed unevenly."""
+
+SHARE_DOUBLING_TIME = datetime.timedelta(seconds=1)
+"""How fast the part grows of a gateway that uses all of it, while its peers
+leave some: most callers may come to one gateway."""
+
+MAX_SEND_INTERVAL = datetime.timedelta(seconds=1)
+"""A part grows only while requests follow each other within this time."""
 
 MAX_DEBT_DURATION_S = 4.0
 """Requests over the limit delay later ones by at most this, in seconds."""
@@ -56,6 +63,8 @@
         self.changed_at = now
         self.own: Statement | None = None
         self.newest: Statement | None = None
+        self._share = 0.0
+        self._sent_at = now
         self._peer_counts: dict[str, PeerCount] = {}
         self._total = token_bucket.TokenBucket(
             rate=0.0, burst=BURST, now=now, tokens=0.0
@@ -76,9 +85,33 @@
             return
         rate = max(self.rate, MIN_RATE)
         burst = BURST if self.rate >= MIN_RATE else MIN_RATE_BURST
-        part = min(1.0, MAX_SHARE_FACTOR / senders) if senders else 0.0
         self._total.set_rate(rate, burst, now)
-        self._own_part.set_rate(rate * part, burst, now)
+        self._set_share(self._base_share, now)
+
+    @property
+    def _base_share(self) -> float:
+        """The part of the limit that each sender may use at once."""
+        if not self.senders:
+            return 0.0
+        return min(1.0, BASE_SHARE_FACTOR / self.senders)
+
+    def _set_share(self, share: float, now: datetime.datetime) -> None:
+        if self.rate is None:
+            return
+        self._share = max(self._base_share, min(1.0, share))
+        rate = max(self.rate, MIN_RATE)
+        burst = BURST if self.rate >= MIN_RATE else MIN_RATE_BURST
+        self._own_part.set_rate(rate * self._share, burst, now)
+
+    def _grow_share(self, now: datetime.datetime) -> None:
+        """Use more of the limit if all of the part was used lately."""
+        interval = now - self._sent_at
+        self._sent_at = now
+        if interval > MAX_SEND_INTERVAL:
+            self._set_share(self._base_share, now)
+        elif self._own_part.wait(now) and not self._total.wait(now):
+            growth = 2 ** (interval / SHARE_DOUBLING_TIME)
+            self._set_share(self._share * growth, now)
 
     def may_send(self, now: datetime.datetime) -> bool:
         """Return whether this gateway may use the endpoint."""
@@ -102,6 +135,7 @@
         self.changed_at = now
         self._own_part.take(now)
         self._debit(1, now)
+        self._grow_share(now)
 
     def record_peer_count(
         self, peer: str, count: PeerCount, now: datetime.datetime
@@ -112,7 +146,11 @@
         before = 0
         if known is not None and known.incarnation == count.incarnation:
             before = known.sent
-        self._debit(max(0, count.sent - before), now)
+        used = max(0, count.sent - before)
+        self._debit(used, now)
+        if used and self.rate:
+            # What peers use is not left over.
+            self._set_share(self._share - used / self.rate, now)
 
     def _debit(self, count: int, now: datetime.datetime) -> None:
         if self.rate is None:
--- a/tests/lib/simulated_rate_limits.py
+++ b/tests/lib/simulated_rate_limits.py
@@ -77,7 +77,8 @@
     """What the callers and the network of a simulation do.
 
     Each gateway would send ``per_s`` requests a second to the endpoint,
-    which states a limit of ``rate``.  Updates take up to ``delay`` and are
+    which states a limit of ``rate``; unless it is None, the first gateway gets
+    ``first_part`` of them all.  Updates take up to ``delay`` and are
     lost with probability ``loss``.  Responses take up to ``response_time``.
     """
 
@@ -88,6 +89,16 @@
     loss: float = 0.1
     response_time: datetime.timedelta = 2 * SECOND
     zones: int = 3
+    first_part: float | None = None
+
+    def rate_at(self, number: int) -> float:
+        """Return the requests a second at a gateway."""
+        if self.first_part is None:
+            return self.per_s
+        total = self.per_s * self.gateways
+        if not number:
+            return total * self.first_part
+        return total * (1 - self.first_part) / (self.gateways - 1)
 
     @property
     def update_interval(self) -> datetime.timedelta:
@@ -109,7 +120,8 @@
 class Simulation:
     """Gateways that exchange reports, and what the endpoint got.
 
-    ``sent`` has the time and the gateway of each request;
+    ``sent`` has the time and the gateway of each request, ``wanted`` the times
+    of those that callers sent;
     ``stated_rate`` is what the endpoint states at present.
     """
 
@@ -118,6 +130,7 @@
     ) -> None:
         self.now = clock.EPOCH
         self.sent: list[tuple[datetime.datetime, str]] = []
+        self.wanted: list[datetime.datetime] = []
         self.stated_rate: float | None = load.rate
         self._load = load
         self._factory = factory
@@ -164,7 +177,9 @@
             hosts = self.hosts
             self._rng.shuffle(hosts)
             for host in hosts:
-                if self._rng.random() < self._load.per_s * (TICK / SECOND):
+                rate = self._load.rate_at(self.hosts.index(host))
+                if self._rng.random() < rate * (TICK / SECOND):
+                    self.wanted.append(self.now)
                     self._send_if_allowed(self._gateways[host], host)
                 self._tell_peers(host)
 
--- a/tests/unit/test_rate_limits.py
+++ b/tests/unit/test_rate_limits.py
@@ -1,5 +1,7 @@
 """Several gateways and an endpoint that states a rate limit."""
 
+import datetime
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -15,6 +17,10 @@
 ENDPOINT = simulated.ENDPOINT
 SECOND = simulated.SECOND
 
+MIN_SERVED_RATIO = 0.75
+"""Of those served before, at the first attempt, while one gateway gets most
+callers."""
+
 
 def one_gateway() -> tuple[directory.Directory, rate_limits.RateLimits]:
     """Return the directory and the rate limits of a gateway."""
@@ -97,6 +103,63 @@
     assert surge_after_quiet_time(1.0, 1) > rate_limit_rule.max_requests(1.0)
 
 
+def served_ratio(
+    simulation: simulated.Simulation, since: datetime.datetime
+) -> float:
+    """Return the share of the callers' requests that was sent."""
+    sent = sum(at >= since for at, _ in simulation.sent)
+    return sent / sum(at >= since for at in simulation.wanted)
+
+
+@pytest.mark.parametrize('rate', [10.0, 30.0])
+@pytest.mark.parametrize('first_part', [0.7, 0.9, 0.95])
+@pytest.mark.parametrize('seed', range(3))
+def test_one_gateway_that_gets_most_callers_uses_what_peers_leave(
+    rate: float, first_part: float, seed: int
+) -> None:
+    """Issue 33, RECOVER: it was kept to three times its equal part."""
+    load = simulated.Load(gateways=7, rate=rate, per_s=0.8 * rate / 7)
+    simulation = simulated.Simulation(load, seed)
+    simulation.run(10 * SECOND)
+    before = served_ratio(simulation, clock.EPOCH + 4 * SECOND)
+    load.first_part = first_part
+    since = simulation.now + 3 * SECOND
+    simulation.run(13 * SECOND)
+    assert served_ratio(simulation, since) >= MIN_SERVED_RATIO * before
+    busiest = simulation.busiest_window(clock.EPOCH + 3 * SECOND)
+    assert busiest <= rate_limit_rule.max_requests(rate)
+
+
+@hypothesis.given(
+    seed=st.integers(0, 10**6),
+    gateways=st.sampled_from([3, 8, 30]),
+    rate=st.sampled_from([0.3, 2.0, 10.0, 30.0]),
+    phases=st.lists(
+        st.tuples(
+            st.sampled_from([0.0, 1.0, 20.0]),
+            st.sampled_from([None, 0.5, 1.0]),
+        ),
+        min_size=3,
+        max_size=5,
+    ),
+)
+@hypothesis.settings(max_examples=25)
+def test_a_limit_is_kept_however_callers_move(
+    seed: int,
+    gateways: int,
+    rate: float,
+    phases: list[tuple[float, float | None]],
+) -> None:
+    """A gateway that uses more than its part leaves it to others in time."""
+    load = simulated.Load(gateways=gateways, rate=rate, per_s=1.0)
+    simulation = simulated.Simulation(load, seed)
+    for per_s, first_part in phases:
+        load.per_s, load.first_part = per_s, first_part
+        simulation.run(5 * SECOND)
+    busiest = simulation.busiest_window(clock.EPOCH + 3 * SECOND)
+    assert busiest <= rate_limit_rule.max_requests(rate)
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_the_load_of_incident_inc1(seed: int) -> None:
     """Eight gateways, three of the zone prefer the endpoint to others."""
