Let timers of the programs count the time of a suspension

The programs run on a loop whose time is that clock, and that looks at it at least each 0.25 s, since the system's own wait leaves the time out as well.

--- a/src/aspenfold/_internal/kernel/clock.py
+++ b/src/aspenfold/_internal/kernel/clock.py
@@ -24,7 +24,7 @@
 
 
 # Counts the time in which the host is suspended; only Linux has it.
-_BOOT_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+BOOT_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
 class MonotonicClock:
@@ -35,11 +35,11 @@
     """
 
     def __init__(self) -> None:
-        self._start = time.clock_gettime(_BOOT_CLOCK)
+        self._start = time.clock_gettime(BOOT_CLOCK)
 
     def now(self) -> datetime.datetime:
         """Return the Unix epoch plus the age of this clock, in UTC."""
-        elapsed = time.clock_gettime(_BOOT_CLOCK) - self._start
+        elapsed = time.clock_gettime(BOOT_CLOCK) - self._start
         return EPOCH + datetime.timedelta(seconds=elapsed)
 
 
--- a/src/aspenfold/_internal/processes/agent.py
+++ b/src/aspenfold/_internal/processes/agent.py
@@ -23,6 +23,7 @@
 from aspenfold._internal.network import frame_queue
 from aspenfold._internal.network import listen
 from aspenfold._internal.observability import events
+from aspenfold._internal.processes import event_loop
 from aspenfold._internal.processes import group_member
 from aspenfold._internal.processes import tasks
 from aspenfold._internal.rpc import aspenfold_pb2 as pb
@@ -254,4 +255,4 @@
         process = AgentProcess(cfg=cfg, clock=clock_module.SystemClock())
         await process.run()
 
-    asyncio.run(main())
+    event_loop.run(main())
--- a/src/aspenfold/_internal/processes/entry.py
+++ b/src/aspenfold/_internal/processes/entry.py
@@ -28,6 +28,7 @@
 from aspenfold._internal.network import response_queue
 from aspenfold._internal.observability import events
 from aspenfold._internal.observability import metrics
+from aspenfold._internal.processes import event_loop
 from aspenfold._internal.processes import peer_service
 from aspenfold._internal.processes import platform_feed
 from aspenfold._internal.processes import report_poller
@@ -410,4 +411,4 @@
         process = EntryProcess(cfg=cfg, clock=clock_module.SystemClock())
         await process.run()
 
-    asyncio.run(main())
+    event_loop.run(main())
--- a/src/aspenfold/cli/gateway.py
+++ b/src/aspenfold/cli/gateway.py
@@ -1,10 +1,9 @@
 """``aspenfold-gateway``: routes requests on a host of the platform."""
 
-import asyncio
-
 from aspenfold._internal.commands import exit_status
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.observability import events
+from aspenfold._internal.processes import event_loop
 from aspenfold._internal.processes import gateway
 from aspenfold.platform import factory
 from aspenfold.platform import headers
@@ -30,5 +29,5 @@
         )
         await process.run()
 
-    asyncio.run(run())
+    event_loop.run(run())
     return exit_status.ExitStatus.OK
--- a/src/aspenfold/cli/rank_agent.py
+++ b/src/aspenfold/cli/rank_agent.py
@@ -1,11 +1,11 @@
 """``aspenfold-rank-agent``: forwards calls to the engine on its host."""
 
-import asyncio
 import sys
 
 from aspenfold._internal.commands import exit_status
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.observability import events
+from aspenfold._internal.processes import event_loop
 from aspenfold._internal.processes import rank_agent
 from aspenfold.platform import engine
 from aspenfold.platform import settings
@@ -30,5 +30,5 @@
         )
         await agent.run()
 
-    asyncio.run(run())
+    event_loop.run(run())
     return exit_status.ExitStatus.OK
