--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -9,11 +9,11 @@
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import forwarding
+from aspenfold._internal.gateway import hold as hold_module
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import plan as plan_module
 from aspenfold._internal.gateway import plan_index as plan_index_module
 from aspenfold._internal.gateway import prompt_parts
-from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import refusal
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.kernel import clock as clock_module
@@ -315,7 +315,7 @@
         delay = permission.until - self._core.clock.now()
         self._refuse(code, f'every endpoint of {service} {reason}', delay)
 
-    def _refuse_quarantined(self, hold: quarantine.Hold | None) -> None:
+    def _refuse_quarantined(self, hold: hold_module.Hold | None) -> None:
         if hold is None:
             # It has ended since.
             self._refuse(Code.OVERLOADED, 'the quarantine has just ended')
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -11,11 +11,11 @@
 import collections
 from collections import abc
 import contextlib
-import dataclasses
 import datetime
 
 from aspenfold._internal.gateway import crash_evidence
 from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.gateway import hold as hold_module
 from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock as clock_module
@@ -32,24 +32,6 @@
 JUDGEMENT_INTERVAL = datetime.timedelta(milliseconds=200)
 """How often the causes of known crashes are looked for anew."""
 
-IDLE_DURATION = datetime.timedelta(hours=1)
-"""A quarantine ends if no such request came for this long."""
-
-TRIAL_AGES = (
-    datetime.timedelta(minutes=10),
-    datetime.timedelta(minutes=70),
-)
-"""Ages of a quarantine from which on one request is sent as a trial, by one of
-all gateways.  An answer ends the quarantine.  Each trial may cost an endpoint,
-so that there are no more."""
-
-EARLY_TRIAL_AGE = datetime.timedelta(milliseconds=1_500)
-"""Age of the quarantine of a whole request after the fewest crashes from which
-on one is sent as a trial: a failure of several hosts may have caused them."""
-
-EARLY_TRIAL_TURN = datetime.timedelta(seconds=1)
-"""Time for one gateway to get such a request before the next may send it."""
-
 MAX_QUARANTINED = 32
 """Fingerprints in quarantine, the latest ones."""
 
@@ -66,48 +48,6 @@
 """Crashes under the same request after which it is not tried again."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Hold:
-    """A fingerprint in quarantine.
-
-    ``crashes`` is how many endpoints had ended under such requests, and
-    ``source`` the gateway from which it is known.  ``trials`` counts the
-    requests that were sent since, by any gateway.
-    """
-
-    fingerprint: Fingerprint
-    begun_at: datetime.datetime
-    seen_at: datetime.datetime
-    crashes: int
-    source: str
-    trials: int = 0
-
-    @property
-    def is_early(self) -> bool:
-        """Whether it began after the fewest crashes, and had no trial yet."""
-        return (
-            fingerprints.is_request(self.fingerprint)
-            and self.crashes <= crash_evidence.MIN_CRASHES
-            and not self.trials
-        )
-
-    def is_trial_due(self, now: datetime.datetime, turn: int) -> bool:
-        """Return whether a request may be sent as a trial.
-
-        ``turn`` is how many gateways come before this one.
-        """
-        age = now - self.begun_at
-        if self.is_early:
-            return age >= EARLY_TRIAL_AGE + turn * EARLY_TRIAL_TURN
-        if turn or self.trials >= len(TRIAL_AGES):
-            return False
-        return age >= TRIAL_AGES[self.trials]
-
-    def ends_at(self) -> datetime.datetime:
-        """Return when it ends if no such request comes until then."""
-        return self.seen_at + IDLE_DURATION
-
-
 class Quarantine:
     """Decides which requests are kept from all endpoints."""
 
@@ -122,7 +62,7 @@
         self._host = host
         self._evidence = evidence or crash_evidence.CrashEvidence()
         self._ledger = ledger or start_ledger.StartLedger()
-        self._holds: dict[Fingerprint, Hold] = {}
+        self._holds: dict[Fingerprint, hold_module.Hold] = {}
         self._verdicts: dict[Fingerprint, datetime.datetime] = {}
         self._judged_version = 0
         self._judged_at = clock_module.EPOCH
@@ -142,7 +82,7 @@
         """Return how many fingerprints are in quarantine."""
         return len(self._holds)
 
-    def holds(self) -> list[Hold]:
+    def holds(self) -> list[hold_module.Hold]:
         """Return all that is in quarantine, the latest last."""
         return list(self._holds.values())
 
@@ -154,7 +94,7 @@
 
     def admit(
         self, request: RequestFingerprints, now: datetime.datetime
-    ) -> Hold | None:
+    ) -> hold_module.Hold | None:
         """Return the hold of a request that came, None if it may be sent.
 
         It may be a trial.
@@ -175,7 +115,7 @@
         request.trials = frozenset(hold.fingerprint for hold in holds)
         return None
 
-    def find(self, request: RequestFingerprints) -> Hold | None:
+    def find(self, request: RequestFingerprints) -> hold_module.Hold | None:
         """Return the hold of a request, None if there is none."""
         return next(iter(self._find_all(request)), None)
 
@@ -183,7 +123,9 @@
         """Return whether a request must not be sent, or not again."""
         return self.find(request) is not None
 
-    def _find_all(self, request: RequestFingerprints) -> list[Hold]:
+    def _find_all(
+        self, request: RequestFingerprints
+    ) -> list[hold_module.Hold]:
         """Return the holds of a request, but those that it is a trial of."""
         if not self._holds:
             return []
@@ -370,7 +312,7 @@
         for cause, since in self._verdicts.items():
             if now - since >= CONFIRMATION_DURATION:
                 self._begin(
-                    Hold(
+                    hold_module.Hold(
                         fingerprint=cause,
                         begun_at=now,
                         seen_at=now,
@@ -413,7 +355,7 @@
             and self._evidence.count_crashes(suspect) > 1
         }
 
-    def _begin(self, hold: Hold) -> None:
+    def _begin(self, hold: hold_module.Hold) -> None:
         self._holds[hold.fingerprint] = hold
         if len(self._holds) > MAX_QUARANTINED:
             self._end(next(iter(self._holds.values())), 'too many')
@@ -427,7 +369,7 @@
             if hold.fingerprint in request.all():
                 withdraw()
 
-    def _end(self, hold: Hold, reason: str) -> None:
+    def _end(self, hold: hold_module.Hold, reason: str) -> None:
         del self._holds[hold.fingerprint]
         events.emit(
             events.Event.QUARANTINE_ENDED,
@@ -537,7 +479,7 @@
         answered_at = self._evidence.answered_at(fingerprint)
         if answered_at is not None and answered_at > begun_at:
             return
-        hold = Hold(
+        hold = hold_module.Hold(
             fingerprint=fingerprint,
             begun_at=begun_at,
             seen_at=seen_at,
--- a/src/aspenfold/_internal/gateway/quarantine_records.py
+++ b/src/aspenfold/_internal/gateway/quarantine_records.py
@@ -18,6 +18,7 @@
 import pydantic
 
 from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.gateway import hold as hold_module
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.gateway import quarantine as quarantine_module
 from aspenfold._internal.gateway import quarantine_report
@@ -221,7 +222,7 @@
             yield key, record.model_dump_json(exclude_none=True).encode()
 
     def _is_outdated(
-        self, stored: HoldRecord, hold: quarantine_module.Hold, seen_ms: int
+        self, stored: HoldRecord, hold: hold_module.Hold, seen_ms: int
     ) -> bool:
         if stored.released_ms is not None or stored.trials < hold.trials:
             return True
@@ -234,7 +235,7 @@
 
     def _due_removals(self) -> abc.Iterator[tuple[str, bytes]]:
         """Yield the keys of records that matter no more."""
-        idle_ms = quarantine_module.IDLE_DURATION // clock_module.MILLISECOND
+        idle_ms = hold_module.IDLE_DURATION // clock_module.MILLISECOND
         now_ms = clock_module.to_unix_ms(self._wall_clock.now())
         for key, record in self._holds.items():
             last_ms = max(record.seen_ms, record.released_ms or 0)
