--- a/tests/lib/simulated_crashes.py
+++ b/tests/lib/simulated_crashes.py
@@ -13,13 +13,12 @@
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import peer_update
 from aspenfold._internal.gateway import peers
-from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock
-from aspenfold._internal.network import http1_server
 from tests.lib import peer_updates
+from tests.lib import samples
 
 SECOND = datetime.timedelta(seconds=1)
 TICK = 25 * clock.MILLISECOND
@@ -191,27 +190,11 @@
             and self._load.alike
             and self._rng.random() < self._load.alike
         ):
-            return self._fingerprints(b'alike', ())
+            return samples.request(body=b'alike')
         # The first parts are the most common ones.
         common = int(self._load.parts * self._rng.random() ** 2)
         shared = (f'c{common}', *(('bad',) if is_bad else ()))
-        return self._fingerprints(b'%d' % self._requests, shared)
-
-    def _fingerprints(
-        self, body: bytes, shared: tuple[str, ...]
-    ) -> fingerprints.RequestFingerprints:
-        return fingerprints.RequestFingerprints(
-            request=http1_server.Request(
-                method=b'POST',
-                target=b'/',
-                headers=[],
-                body=body,
-                received_at=self.now,
-                connection_reused=False,
-            ),
-            organisation='one',
-            parts=prompt_parts.PromptParts(shared=shared),
-        )
+        return samples.request(*shared, body=b'%d' % self._requests)
 
     def _answer(self) -> None:
         for endpoint in self._endpoints:
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -11,37 +11,17 @@
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import peer_update
 from aspenfold._internal.gateway import peers
-from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import quarantine_report
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock
-from aspenfold._internal.network import http1_server
+from tests.lib import samples
 
 SECOND = datetime.timedelta(seconds=1)
 NOW = clock.EPOCH + 10_000 * SECOND
 
 
-def request_with(
-    *parts: str, body: bytes = b'', organisation: str = 'one'
-) -> fingerprints.RequestFingerprints:
-    """Return the fingerprints of a request with these shared parts."""
-    request = http1_server.Request(
-        method=b'POST',
-        target=b'/stream/',
-        headers=[(b'host', b'shop.example')],
-        body=body,
-        received_at=clock.EPOCH,
-        connection_reused=False,
-    )
-    return fingerprints.RequestFingerprints(
-        request=request,
-        organisation=organisation,
-        parts=prompt_parts.PromptParts(shared=parts),
-    )
-
-
 class Gateways:
     """Gateways that exchange reports at once."""
 
@@ -85,7 +65,7 @@
     """Play 65: the copies that waited at them kept the request from a hold."""
     ledger = start_ledger.StartLedger()
     one = quarantine.Quarantine(host='g-1', ledger=ledger)
-    bad = request_with(body=b'bad')
+    bad = samples.request(body=b'bad')
     waiting = [f'w-{number}' for number in range(4)]
     for name in waiting:
         ledger.begin(
@@ -111,47 +91,49 @@
     """None of them has seen more than one."""
     gateways = Gateways(8)
     for number in range(3):
-        gateways.crash(number, request_with('a', 'bad', body=b'%d' % number))
-        gateways.all[7].record_answer(request_with('a'), gateways.now)
+        gateways.crash(
+            number, samples.request('a', 'bad', body=b'%d' % number)
+        )
+        gateways.all[7].record_answer(samples.request('a'), gateways.now)
         gateways.wait()
     gateways.wait()
-    assert gateways.held(request_with('x', 'bad')) == [True] * 8
-    assert gateways.held(request_with('a')) == [False] * 8
+    assert gateways.held(samples.request('x', 'bad')) == [True] * 8
+    assert gateways.held(samples.request('a')) == [False] * 8
 
 
 def test_a_suspect_is_cleared_by_the_answer_of_any_gateway() -> None:
     """The others never sent a request with it."""
     gateways = Gateways(4)
     for number in range(5):
-        gateways.crash(number % 3, request_with('a', body=b'%d' % number))
+        gateways.crash(number % 3, samples.request('a', body=b'%d' % number))
         gateways.wait()
-        gateways.all[3].record_answer(request_with('a'), gateways.now)
+        gateways.all[3].record_answer(samples.request('a'), gateways.now)
         gateways.wait()
-    assert gateways.held(request_with('a')) == [False] * 4
+    assert gateways.held(samples.request('a')) == [False] * 4
 
 
 def test_a_new_gateway_knows_the_quarantine_from_any_peer() -> None:
     """Also once the crashes themselves are forgotten."""
     gateways = Gateways(2)
     for number in range(3):
-        gateways.crash(0, request_with('bad', body=b'%d' % number))
+        gateways.crash(0, samples.request('bad', body=b'%d' % number))
         gateways.wait()
     gateways.wait(700)
     gateways.all[0] = quarantine.Quarantine(host='g-0')
     gateways.wait()
-    assert gateways.held(request_with('bad')) == [True, True]
+    assert gateways.held(samples.request('bad')) == [True, True]
 
 
 def test_a_quarantine_lasts_while_such_requests_come_to_any_gateway() -> None:
     """It ends an hour after the last one."""
     gateways = Gateways(2)
     for number in range(3):
-        gateways.crash(0, request_with('bad', body=b'%d' % number))
+        gateways.crash(0, samples.request('bad', body=b'%d' % number))
         gateways.wait()
     for _ in range(5):
         gateways.wait(1800)
-        gateways.all[1].admit(request_with('bad'), gateways.now)
-        assert gateways.held(request_with('bad')) == [True, True]
+        gateways.all[1].admit(samples.request('bad'), gateways.now)
+        assert gateways.held(samples.request('bad')) == [True, True]
     assert gateways.all[0].count() == 1
     gateways.wait(3601)
     gateways.wait()
@@ -162,17 +144,17 @@
     """Return gateways that hold a part."""
     gateways = Gateways(count)
     for number in range(3):
-        gateways.crash(0, request_with('bad', body=b'%d' % number))
+        gateways.crash(0, samples.request('bad', body=b'%d' % number))
         gateways.wait()
     for one in gateways.all:
         one.set_peers([f'g-{number}' for number in range(count)])
-    assert gateways.held(request_with('bad')) == [True] * count
+    assert gateways.held(samples.request('bad')) == [True] * count
     return gateways
 
 
 def sent(gateways: Gateways) -> int:
     """Return how many gateways send a request with the held part."""
-    requests = [request_with('bad') for _ in gateways.all]
+    requests = [samples.request('bad') for _ in gateways.all]
     return sum(
         one.admit(request, gateways.now) is None
         for one, request in zip(gateways.all, requests, strict=True)
@@ -196,67 +178,67 @@
     """The endpoints were mended."""
     gateways = hold_bad(3)
     gateways.wait(601)
-    requests = [request_with('bad') for _ in gateways.all]
+    requests = [samples.request('bad') for _ in gateways.all]
     for one, request in zip(gateways.all, requests, strict=True):
         if one.admit(request, gateways.now) is None:
             assert not one.is_held(request)
             assert not one.may_retry(request, gateways.now)
             one.record_answer(request, gateways.now)
     gateways.wait()
-    assert gateways.held(request_with('bad')) == [False] * 3
+    assert gateways.held(samples.request('bad')) == [False] * 3
 
 
 def test_an_answer_ends_a_quarantine_everywhere() -> None:
     """A request that was sent before it was answered after all."""
     gateways = Gateways(3)
     for number in range(3):
-        gateways.crash(0, request_with('bad', body=b'%d' % number))
+        gateways.crash(0, samples.request('bad', body=b'%d' % number))
         gateways.wait()
     gateways.wait()
-    assert gateways.held(request_with('bad')) == [True] * 3
-    gateways.all[2].record_answer(request_with('bad'), gateways.now)
+    assert gateways.held(samples.request('bad')) == [True] * 3
+    gateways.all[2].record_answer(samples.request('bad'), gateways.now)
     gateways.wait()
     gateways.wait()
-    assert gateways.held(request_with('bad')) == [False] * 3
+    assert gateways.held(samples.request('bad')) == [False] * 3
 
 
 def test_a_repeated_request_is_held_and_others_of_its_path_are_not() -> None:
     """Another caller may be served another way."""
     gateways = Gateways(3)
     for number in range(3):
-        gateways.crash(number, request_with(body=b'crash'))
+        gateways.crash(number, samples.request(body=b'crash'))
         gateways.wait()
     gateways.wait()
-    assert gateways.held(request_with(body=b'crash')) == [True] * 3
-    assert gateways.held(request_with(body=b'other')) == [False] * 3
-    other = request_with(body=b'crash', organisation='two')
+    assert gateways.held(samples.request(body=b'crash')) == [True] * 3
+    assert gateways.held(samples.request(body=b'other')) == [False] * 3
+    other = samples.request(body=b'crash', organisation='two')
     assert gateways.held(other) == [False] * 3
 
 
 def test_requests_without_a_body_are_told_apart_by_their_prompts() -> None:
     """They have the path in common with many sound ones."""
-    names = {request_with('a').whole, request_with('b').whole}
+    names = {samples.request('a').whole, samples.request('b').whole}
     assert len(names) == 2
     body = b'the same'
-    one = request_with('a', body=body)
-    assert one.whole == request_with('b', body=body).whole
+    one = samples.request('a', body=body)
+    assert one.whole == samples.request('b', body=body).whole
 
 
 def test_a_lost_request_is_tried_again_if_its_parts_were_answered() -> None:
     """The repeat of the cause would end a second endpoint."""
     one = quarantine.Quarantine(host='g-0')
-    sound = request_with('a')
+    sound = samples.request('a')
     assert not one.may_retry(sound, NOW)
     one.record_answer(sound, NOW)
     assert one.may_retry(sound, NOW)
-    assert not one.may_retry(request_with('a', 'bad'), NOW)
-    assert one.may_retry(request_with(), NOW)
+    assert not one.may_retry(samples.request('a', 'bad'), NOW)
+    assert one.may_retry(samples.request(), NOW)
 
 
 def test_a_request_that_ended_two_endpoints_is_not_tried_again() -> None:
     """The first may have been a coincidence."""
     one = quarantine.Quarantine(host='g-0')
-    request = request_with(body=b'x')
+    request = samples.request(body=b'x')
     one.record_crash('w-1', request.early(), NOW)
     assert one.may_retry(request, NOW)
     one.record_crash('w-2', request.early(), NOW + SECOND)
@@ -267,18 +249,18 @@
     """A suspended gateway reads old updates when it goes on."""
     one = quarantine.Quarantine(host='g-0')
     for number in range(2):
-        request = request_with('bad', body=b'%d' % number)
+        request = samples.request('bad', body=b'%d' % number)
         one.record_crash(f'w-{number}', request.early(), NOW + number * SECOND)
     one.update(NOW + 2 * SECOND)
-    assert one.is_held(request_with('bad'))
+    assert one.is_held(samples.request('bad'))
     report = quarantine_report.Report(
-        answer_ages={request_with('bad').parts[0]: SECOND}
+        answer_ages={samples.request('bad').parts[0]: SECOND}
     )
     late = NOW + 9 * SECOND
     one.receive('peer', report, late, sent_at=NOW)
-    assert one.is_held(request_with('bad'))
+    assert one.is_held(samples.request('bad'))
     one.receive('peer', report, late)
-    assert not one.is_held(request_with('bad'))
+    assert not one.is_held(samples.request('bad'))
 
 
 def test_the_delay_of_an_update_is_told_from_the_quickest_one() -> None:
@@ -397,12 +379,12 @@
     """Return gateways that hold a request after three crashes at once."""
     gateways = Gateways(count)
     for number in range(3):
-        gateways.crash(number % count, request_with(body=b'x'))
+        gateways.crash(number % count, samples.request(body=b'x'))
     gateways.wait()
     gateways.wait()
     for one in gateways.all:
         one.set_peers({f'g-{number}' for number in range(count)})
-    assert gateways.held(request_with(body=b'x')) == [True] * count
+    assert gateways.held(samples.request(body=b'x')) == [True] * count
     return gateways
 
 
@@ -416,7 +398,7 @@
     for _ in range(40):
         gateways.wait(0.1)
         for number, one in enumerate(gateways.all):
-            request = request_with(body=b'x')
+            request = samples.request(body=b'x')
             if one.admit(request, gateways.now) is not None:
                 continue
             tried.append(number)
@@ -425,10 +407,10 @@
             else:
                 gateways.crash(number, request)
     if is_sound:
-        assert gateways.held(request_with(body=b'x')) == [False] * 3
+        assert gateways.held(samples.request(body=b'x')) == [False] * 3
     else:
         assert len(tried) == 1
-        assert gateways.held(request_with(body=b'x')) == [True] * 3
+        assert gateways.held(samples.request(body=b'x')) == [True] * 3
 
 
 @pytest.mark.parametrize('gateway_count', [1, 3, 8])
@@ -440,11 +422,11 @@
         gateways = Gateways(gateway_count)
         for number in range(4):
             suspects = [
-                *request_with(body=b'bad %d' % bad).early(),
+                *samples.request(body=b'bad %d' % bad).early(),
                 *(
                     fingerprint
                     for other in range(12)
-                    for fingerprint in request_with(
+                    for fingerprint in samples.request(
                         body=b'%d %d %d' % (bad, number, other)
                     ).early()
                 ),
@@ -454,5 +436,5 @@
             )
             gateways.wait()
         gateways.wait()
-        held = gateways.held(request_with(body=b'bad %d' % bad))
+        held = gateways.held(samples.request(body=b'bad %d' % bad))
         assert held == [True] * gateway_count
--- a/tests/unit/test_quarantine_records.py
+++ b/tests/unit/test_quarantine_records.py
@@ -7,13 +7,11 @@
 import orjson
 import pytest
 
-from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import ports
-from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import quarantine_records
 from aspenfold._internal.kernel import clock as clock_module
-from aspenfold._internal.network import http1_server
+from tests.lib import samples
 
 SECOND = datetime.timedelta(seconds=1)
 NOW = clock_module.EPOCH + 10_000 * SECOND
@@ -33,22 +31,6 @@
     )
 
 
-def bad_request() -> fingerprints.RequestFingerprints:
-    """Return the fingerprints of a request with a bad part."""
-    return fingerprints.RequestFingerprints(
-        request=http1_server.Request(
-            method=b'POST',
-            target=b'/',
-            headers=[],
-            body=b'x',
-            received_at=clock_module.EPOCH,
-            connection_reused=False,
-        ),
-        organisation='one',
-        parts=prompt_parts.PromptParts(shared=('bad',)),
-    )
-
-
 def json_of(fields: dict[str, object]) -> bytes:
     """Return fields as JSON, with integers of any size."""
     parts = [
@@ -114,7 +96,9 @@
     records = make_records(held)
     keys = set()
     for number in range(100):
-        held.record_crash(f'w-{number}', bad_request().early(), NOW)
+        held.record_crash(
+            f'w-{number}', samples.request('bad', body=b'x').early(), NOW
+        )
         for key, value in records.due():
             keys.add(key)
             records.apply(ports.Record(offset=0, key=key, value=value))
--- a/tests/unit/test_start_ledger.py
+++ b/tests/unit/test_start_ledger.py
@@ -9,34 +9,16 @@
 
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import endpoint_connection
-from aspenfold._internal.gateway import fingerprints
-from aspenfold._internal.gateway import prompt_parts
 from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import http1_client
-from aspenfold._internal.network import http1_server
+from tests.lib import samples
 
 SECOND = datetime.timedelta(seconds=1)
 NOW = clock.EPOCH + 1_000 * SECOND
 START = 'w-1@1'
 
 
-def request_with(body: bytes, *parts: str) -> fingerprints.RequestFingerprints:
-    """Return the fingerprints of a request."""
-    return fingerprints.RequestFingerprints(
-        request=http1_server.Request(
-            method=b'POST',
-            target=b'/',
-            headers=[],
-            body=body,
-            received_at=NOW,
-            connection_reused=False,
-        ),
-        organisation='one',
-        parts=prompt_parts.PromptParts(shared=parts),
-    )
-
-
 class Ledger(start_ledger.StartLedger):
     """A ledger whose requests differ in their bodies only."""
 
@@ -47,7 +29,7 @@
         return self.begin(
             call_id=body.decode(),
             incarnation=incarnation,
-            request=request_with(body),
+            request=samples.request(body=body),
             withdraw=lambda: None,
             now=at(at_s),
         )
@@ -179,7 +161,7 @@
 ) -> None:
     """A stream that is repeated may end each endpoint after seconds."""
     ledger = Ledger()
-    requests = [request_with(b'%d' % n, f'part-{n}') for n in range(2)]
+    requests = [samples.request(f'part-{n}', body=b'%d' % n) for n in range(2)]
     for request, until in zip(requests, (1.0, 0.9), strict=True):
         begun = ledger.begin(
             call_id='one',
