--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -306,16 +306,23 @@
 
 
 @pytest.mark.parametrize(
-    ('requests', 'crash_count', 'fault', 'is_found'),
+    ('requests', 'crash_count', 'fault', 'cause', 'is_found'),
     [
-        (4, 5, '', True),
-        (3, 5, '', False),
-        (4, 4, '', False),
-        (4, 5, 'g', False),
+        (4, 5, '', crashes.BadPart(), True),
+        (3, 5, '', crashes.BadPart(), False),
+        (4, 4, '', crashes.BadPart(), False),
+        (4, 5, 'g', crashes.BadPart(), False),
+        (4, 3, '', crashes.BadRequest(), True),
+        (3, 3, '', crashes.BadRequest(), False),
+        (4, 2, '', crashes.BadRequest(), False),
     ],
 )
 def test_checker_reports_requests_after_many_crashes(
-    requests: int, crash_count: int, fault: str, is_found: bool
+    requests: int,
+    crash_count: int,
+    fault: str,
+    cause: crashes.Cause,
+    is_found: bool,
 ) -> None:
     """Three may come late, more only of a gateway that had a fault."""
     history = soak_history.SoakHistory()
@@ -326,5 +333,5 @@
     arrivals.append((late_at - 1, ('g', 1)))
     if fault:
         history.start_fault(fault)
-    violations = crashes.find_violations(times, arrivals, history)
+    violations = crashes.find_violations(times, arrivals, history, cause)
     assert bool(violations) is is_found
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -1,9 +1,11 @@
-"""Requests with a part on which endpoints crash in a soak, and their check."""
+"""Requests on which endpoints crash in a soak, and their check."""
 
 import asyncio
 from collections import abc
+import dataclasses
 import random
 import time
+import typing
 
 from aspenfold_standins import http11
 from aspenfold_standins import platform_worker
@@ -13,28 +15,101 @@
 from tests.soak import soak_history
 from tests.soak import system_under_test
 
-BAD_PART = 'bad0'
-
-PATH = '/stream/'
-
-REQUEST_PAUSE_RANGE_S = (0.1, 0.6)
-
 HEAD_FRACTION = 0.5
 """Part of the crashes that come after the head of a response."""
 
 DOWN_RANGE_S = (0.8, 2.0)
 """How long a crashed endpoint does not listen."""
 
-CRASHES_TO_LEARN = 5
-
 MAX_LATE_REQUESTS = 3
 
 LEARNING_S = 3.0
 """Time after the last crash in which gateways may send such requests."""
 
 
+class Cause(typing.Protocol):
+    """What the requests have in common on which endpoints crash.
+
+    Gateways learn it from ``crashes_to_learn`` crashes.  One comes after each
+    pause of ``pause_range_s``.
+    """
+
+    name: str
+    method: str
+    path: str
+    crashes_to_learn: int
+    pause_range_s: tuple[float, float]
+
+    def rest(self, number: int) -> str:
+        """Return the last headers and the body of a request."""
+
+    def is_fatal(self, request: http11.Request) -> bool:
+        """Return whether endpoints crash on a request."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BadPart:
+    """A part that prompts have beside others."""
+
+    name: str = 'part'
+    method: str = 'GET'
+    path: str = '/stream/'
+    crashes_to_learn: int = 5
+    pause_range_s: tuple[float, float] = (0.1, 0.6)
+    part: str = 'bad0'
+
+    def rest(self, number: int) -> str:
+        """Return a prompt with the part and one of its own."""
+        parts = f'c0:9,{self.part}:9,{number:x}:9'
+        return f'X-Aspenfold-Prompt-Prefix-Hash: {parts}\r\n\r\n'
+
+    def is_fatal(self, request: http11.Request) -> bool:
+        """Return whether a request has the part."""
+        value = request.headers.get(platform_worker.PROMPT_HEADER, '')
+        return f'{self.part}:' in value
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BadRequest:
+    """A request that is the same each time."""
+
+    name: str = 'request'
+    method: str = 'POST'
+    path: str = '/unsafe/'
+    crashes_to_learn: int = 3
+    pause_range_s: tuple[float, float] = (0.5, 2.0)
+    body: str = 'the one that crashes'
+
+    def rest(self, number: int) -> str:
+        """Return the body."""
+        return f'Content-Length: {len(self.body)}\r\n\r\n{self.body}'
+
+    def is_fatal(self, request: http11.Request) -> bool:
+        """Return whether it is this request."""
+        return request.body == self.body.encode()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnyOf:
+    """Lets several injectors crash the same endpoints."""
+
+    injectors: list['CrashInjector']
+
+    def is_fatal(self, request: http11.Request) -> bool:
+        """Return whether a request is that of one of them."""
+        return any(one.cause.is_fatal(request) for one in self.injectors)
+
+    async def __call__(
+        self, worker: platform_worker.Worker, exchange: http11.Exchange
+    ) -> None:
+        """Have it crash the endpoint."""
+        for one in self.injectors:
+            if one.cause.is_fatal(exchange.request):
+                await one.crash(worker, exchange)
+
+
 class CrashInjector:
-    """Sends requests with the bad part, on which plain endpoints crash.
+    """Sends requests with one cause, on which plain endpoints crash.
 
     ``crashes`` has the times of the crashes, ``arrivals`` the time and the
     gateway's process of each such request that reached an endpoint.
@@ -46,14 +121,16 @@
         system: system_under_test.SystemUnderTest,
         history: soak_history.SoakHistory,
         rng: random.Random,
+        cause: Cause,
+        down: list[system_under_test.Endpoint],
     ) -> None:
+        """``down`` has the endpoints that have just crashed."""
+        self.cause = cause
         self._system = system
         self._history = history
         self._rng = rng
-        # An endpoint that answered the part would clear it.
-        system.fatal = self
         self._number = 0
-        self._down: list[system_under_test.Endpoint] = []
+        self._down = down
         self._tasks: set[asyncio.Task[None]] = set()
         self.crashes: list[float] = []
         self.arrivals: list[tuple[float, soak_history.Process]] = []
@@ -61,7 +138,7 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            await asyncio.sleep(self._rng.uniform(*REQUEST_PAUSE_RANGE_S))
+            await asyncio.sleep(self._rng.uniform(*self.cause.pause_range_s))
             self._number += 1
             self._start(self._send(self._number))
 
@@ -72,10 +149,10 @@
 
     async def _send(self, number: int) -> None:
         gateway = self._rng.choice(self._system.gateways)
-        attempt_id = f'soak-crash-{number}'
+        attempt_id = f'soak-crash-{self.cause.name}-{number}'
         request = soak_history.RequestRecord(
             attempt_id=attempt_id,
-            path=PATH,
+            path=self.cause.path,
             gateway=gateway.name,
             process_number=len(gateway.processes),
             sent_at=time.monotonic(),
@@ -84,18 +161,18 @@
         # The endpoint breaks the response off.
         self._history.broken_attempts.add(attempt_id)
         lines = [
-            f'GET {PATH} HTTP/1.1',
+            f'{self.cause.method} {self.cause.path} HTTP/1.1',
             f'Host: {gateway_rig.HOST}',
             f'X-Aspenfold-Attempt-Id: {attempt_id}',
             f'Authorization: Bearer {gateway_rig.KEY}',
-            f'X-Aspenfold-Prompt-Prefix-Hash: c0:9,{BAD_PART}:9,{number:x}:9',
+            self.cause.rest(number),
         ]
         try:
             async with asyncio.timeout(callers.CALLER_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
                     '127.0.0.1', gateway.caller_link.port
                 )
-                writer.write('\r\n'.join([*lines, '', '']).encode())
+                writer.write('\r\n'.join(lines).encode())
                 request.response = await gateway_rig.read_response(reader)
                 writer.close()
         except (OSError, TimeoutError):
@@ -104,12 +181,7 @@
         finally:
             request.ended_at = time.monotonic()
 
-    def is_fatal(self, request: http11.Request) -> bool:
-        """Return whether a request has the bad part."""
-        value = request.headers.get(platform_worker.PROMPT_HEADER, '')
-        return f'{BAD_PART}:' in value
-
-    async def __call__(
+    async def crash(
         self, worker: platform_worker.Worker, exchange: http11.Exchange
     ) -> None:
         """Crash the endpoint, perhaps after the head of its response."""
@@ -146,6 +218,7 @@
     crashes: abc.Collection[float],
     arrivals: abc.Iterable[tuple[float, soak_history.Process]],
     history: soak_history.SoakHistory,
+    cause: Cause,
 ) -> list[str]:
     """Return a description if too many bad requests reached endpoints.
 
@@ -153,9 +226,9 @@
     do not count.
     """
     times = sorted(crashes)
-    if len(times) < CRASHES_TO_LEARN:
+    if len(times) < cause.crashes_to_learn:
         return []
-    learned_at = times[CRASHES_TO_LEARN - 1]
+    learned_at = times[cause.crashes_to_learn - 1]
     late = [
         (at, name)
         for at, (name, _) in arrivals
@@ -166,6 +239,6 @@
     if len(late) <= MAX_LATE_REQUESTS:
         return []
     return [
-        f'{len(late)} requests with a part reached endpoints later than '
-        f'{LEARNING_S} s after {CRASHES_TO_LEARN} had crashed under it'
+        f'{len(late)} of a bad {cause.name} reached endpoints later than '
+        f'{LEARNING_S} s after {cause.crashes_to_learn} had crashed under it'
     ]
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -25,6 +25,12 @@
 FAULT_INTERVAL_S = 0.5
 """Mean time between two faults."""
 
+CAUSES: dict[str, crashes.Cause] = {
+    'crashes': crashes.BadPart(),
+    'crashes of a request': crashes.BadRequest(),
+}
+"""The causes of crashes, by the names of their random numbers."""
+
 RECOVERY_TIMEOUT_S = 8.0
 """Time after the last fault within which every gateway must serve."""
 
@@ -83,11 +89,19 @@
         history=history,
         rng=random.Random(f'{seed} response ends'),
     )
-    crash_injector = crashes.CrashInjector(
-        system=system,
-        history=history,
-        rng=random.Random(f'{seed} crashes'),
-    )
+    down: list[system_under_test.Endpoint] = []
+    crash_injectors = [
+        crashes.CrashInjector(
+            system=system,
+            history=history,
+            rng=random.Random(f'{seed} {name}'),
+            cause=cause,
+            down=down,
+        )
+        for name, cause in CAUSES.items()
+    ]
+    # An endpoint that answered such a request would clear it.
+    system.fatal = crashes.AnyOf(injectors=crash_injectors)
     probers = [
         callers.PlanProber(system=system, gateway=gateway, history=history)
         for gateway in system.gateways
@@ -119,7 +133,7 @@
                 limits,
                 injected_statements,
                 breaker,
-                crash_injector,
+                *crash_injectors,
             ]
         ]
         await injector.run(duration_s)
@@ -142,9 +156,10 @@
         injected_statements.left,
         history,
     )
-    violations += crashes.find_violations(
-        crash_injector.crashes, crash_injector.arrivals, history
-    )
+    for one in crash_injectors:
+        violations += crashes.find_violations(
+            one.crashes, one.arrivals, history, one.cause
+        )
     requests = history.requests.values()
     return SoakResult(
         seed=seed,
@@ -152,7 +167,7 @@
             not x.attempt_id.startswith('probe-') for x in requests
         ),
         served_count=sum(x.served for x in requests),
-        crash_count=len(crash_injector.crashes),
+        crash_count=sum(len(one.crashes) for one in crash_injectors),
         rank_switch_count=system.group.simulation.rank_switch_count,
         violations=violations,
         fault_log=injector.log,
