Take ends of one endpoint within half a second for one, and try each hold soon

Cause: for two seconds the address of an endpoint that had crashed took some connections and reset them, and refused others. Each refusal ended a further start, which nobody had seen start: eleven crashes of one endpoint, at most 0.4 s apart. A request that probes send was at seven of them, nobody had answered it yet, and each crash counts for a whole request. A request that is held after more than three crashes was tried after ten minutes only.

An endpoint can't start anew within half a second, so that ends closer than that, of one listed start, are the same. And each whole request that is held is tried after 1.5 s, however many crashes led to it: a false hold ends then, a true one costs one more endpoint.

Both new tests failed before.

--- a/src/aspenfold/_internal/gateway/crash_evidence.py
+++ b/src/aspenfold/_internal/gateway/crash_evidence.py
@@ -29,6 +29,7 @@
 import datetime
 
 from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.routing import subset
 
@@ -56,6 +57,10 @@
 EPISODE = datetime.timedelta(milliseconds=500)
 """Crashes within this time count once."""
 
+MIN_RESTART = datetime.timedelta(milliseconds=500)
+"""Ends of one endpoint within this time are one: it takes longer to start
+anew, and what accepts connections meanwhile is not it."""
+
 CRASH_MEMORY = datetime.timedelta(minutes=10)
 
 MAX_CRASHES = 64
@@ -199,7 +204,7 @@
         at: datetime.datetime,
     ) -> None:
         """Add the crash of an endpoint, or suspects of a known one."""
-        crash = self._find(incarnation)
+        crash = self._find(incarnation, at)
         if crash is None:
             crash = Crash(incarnation=incarnation, at=at, suspects=set())
             self._crashes.append(crash)
@@ -219,11 +224,20 @@
         self._crashes.sort(key=lambda one: one.at)
         del self._crashes[:-MAX_CRASHES]
 
-    def _find(self, incarnation: str) -> Crash | None:
+    def _find(self, incarnation: str, at: datetime.datetime) -> Crash | None:
+        """Return the crash of a start, or of one too shortly before or after.
+
+        The latter are of the same listed start.
+        """
+        near = None
         for crash in self._crashes:
             if crash.incarnation == incarnation:
                 return crash
-        return None
+            if abs(crash.at - at) < MIN_RESTART and start_ledger.listed_start(
+                crash.incarnation
+            ) == start_ledger.listed_start(incarnation):
+                near = crash
+        return near
 
     def record_answer(
         self, fingerprint: Fingerprint, at: datetime.datetime
--- a/src/aspenfold/_internal/gateway/hold.py
+++ b/src/aspenfold/_internal/gateway/hold.py
@@ -3,7 +3,6 @@
 import dataclasses
 import datetime
 
-from aspenfold._internal.gateway import crash_evidence
 from aspenfold._internal.gateway import fingerprints
 
 Fingerprint = fingerprints.Fingerprint
@@ -20,8 +19,8 @@
 so that there are no more."""
 
 EARLY_TRIAL_AGE = datetime.timedelta(milliseconds=1_500)
-"""Age of the quarantine of a whole request after the fewest crashes from which
-on one is sent as a trial: a failure of several hosts may have caused them."""
+"""Age of the quarantine of a whole request from which on one is sent as a
+trial: a failure of several hosts or paths may have caused the crashes."""
 
 EARLY_TRIAL_TURN = datetime.timedelta(seconds=1)
 """Time for one gateway to get such a request before the next may send it."""
@@ -45,12 +44,8 @@
 
     @property
     def is_early(self) -> bool:
-        """Whether it began after the fewest crashes, and had no trial yet."""
-        return (
-            fingerprints.is_request(self.fingerprint)
-            and self.crashes <= crash_evidence.MIN_CRASHES
-            and not self.trials
-        )
+        """Whether it is that of a whole request that had no trial yet."""
+        return fingerprints.is_request(self.fingerprint) and not self.trials
 
     def is_trial_due(self, now: datetime.datetime, turn: int) -> bool:
         """Return whether a request may be sent as a trial.
--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -48,6 +48,11 @@
 """Ends the name of a start that follows one that ended, and isn't listed."""
 
 
+def listed_start(incarnation: str) -> str:
+    """Return the start in the list that an unlisted one followed."""
+    return incarnation.rstrip(UNLISTED_MARK)
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BegunRequest:
     """A request that was sent to a start of an endpoint.
@@ -301,7 +306,7 @@
             start.begun = [one for one in start.begun if one not in later]
         end = self.end(incarnation)
         # The peer may know of starts between it and the listed one.
-        listed = incarnation.rstrip(UNLISTED_MARK)
+        listed = listed_start(incarnation)
         for length in range(len(listed), len(incarnation) + 1):
             self._mark_ended(incarnation[:length])
         self._move(later, self.current(incarnation))
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -9,6 +9,7 @@
 
 from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import fingerprints
+from aspenfold._internal.gateway import hold
 from aspenfold._internal.gateway import peer_update
 from aspenfold._internal.gateway import peers
 from aspenfold._internal.gateway import quarantine
@@ -58,6 +59,37 @@
         return [one.is_held(request) for one in self.all]
 
 
+def test_an_endpoint_that_seems_to_end_again_and_again_ended_once() -> None:
+    """Soak seed 2: its address took connections and reset or refused them."""
+    gateways = Gateways(3)
+    asked_for = samples.request(body=b'what many ask for')
+    for number in range(30):
+        start = 'w-1' + start_ledger.UNLISTED_MARK * number
+        gateways.all[number % 3].record_crash(
+            start, asked_for.early(), gateways.now
+        )
+        gateways.wait(0.015)
+    gateways.wait(1.0)
+    gateways.wait(1.0)
+    assert gateways.held(asked_for) == [False] * 3
+
+
+def test_a_request_that_is_held_after_many_crashes_is_tried_soon() -> None:
+    """What many ask for may have been at each of them by chance."""
+    gateways = Gateways(1)
+    request = samples.request(body=b'what many ask for')
+    for _ in range(9):
+        gateways.crash(0, request)
+        gateways.wait(0.1)
+    gateways.wait(1.0)
+    assert gateways.held(request) == [True]
+    gateways.now += hold.EARLY_TRIAL_AGE
+    request = samples.request(body=b'what many ask for')
+    assert gateways.all[0].admit(request, gateways.now) is None
+    gateways.all[0].record_answer(request, gateways.now)
+    assert not gateways.all[0].count()
+
+
 @pytest.mark.parametrize('are_silent', [True, False])
 def test_requests_at_silent_endpoints_speak_for_nothing(
     are_silent: bool,
