Spend a trial when it is sent, not when it is admitted

A hold is in trial while an admitted request waits, so that there is one at a time, and counts it once an endpoint gets it.

--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -75,6 +75,7 @@
             withdraw=withdraw,
             now=self._clock.now(),
         )
+        self._quarantine.record_sent(call.fingerprints)
         self._doubt(endpoint, call.begun.incarnation)
 
     def record_output(self, call: call_module.Call) -> None:
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -75,6 +75,12 @@
 
     async def run(self) -> None:
         """Serve the request; cancelled if the caller disconnects."""
+        try:
+            await self._serve()
+        finally:
+            self._core.quarantine.end_trial(self._call.fingerprints)
+
+    async def _serve(self) -> None:
         route = self._admit()
         if route is None:
             return
--- a/src/aspenfold/_internal/gateway/hold.py
+++ b/src/aspenfold/_internal/gateway/hold.py
@@ -32,7 +32,8 @@
 
     ``crashes`` is how many endpoints had ended under such requests, and
     ``source`` the gateway from which it is known.  ``trials`` counts the
-    requests that were sent since, by any gateway.
+    requests that were sent since, by any gateway; ``in_trial`` is whether one
+    was admitted here that no endpoint has got yet.
     """
 
     fingerprint: Fingerprint
@@ -41,6 +42,7 @@
     crashes: int
     source: str
     trials: int = 0
+    in_trial: bool = False
 
     @property
     def is_early(self) -> bool:
@@ -52,6 +54,8 @@
 
         ``turn`` is how many gateways come before this one.
         """
+        if self.in_trial:
+            return False
         age = now - self.begun_at
         if self.is_early:
             return age >= EARLY_TRIAL_AGE + turn * EARLY_TRIAL_TURN
--- a/src/aspenfold/_internal/gateway/quarantine.py
+++ b/src/aspenfold/_internal/gateway/quarantine.py
@@ -106,14 +106,30 @@
             if not hold.is_trial_due(now, self.turn(hold.fingerprint)):
                 return hold
         for hold in holds:
+            hold.in_trial = True
+        request.trials = frozenset(hold.fingerprint for hold in holds)
+        return None
+
+    def record_sent(self, request: RequestFingerprints) -> None:
+        """Count the trial if a request that is sent is one."""
+        for hold in self._tried(request):
+            hold.in_trial = False
             hold.trials += 1
             events.emit(
                 events.Event.QUARANTINE_TRIAL,
                 fingerprint=hold.fingerprint,
                 trials=hold.trials,
             )
-        request.trials = frozenset(hold.fingerprint for hold in holds)
-        return None
+
+    def end_trial(self, request: RequestFingerprints) -> None:
+        """Let another request be the trial if no endpoint got this one."""
+        for hold in self._tried(request):
+            hold.in_trial = False
+
+    def _tried(self, request: RequestFingerprints) -> list[hold_module.Hold]:
+        """Return the holds whose trial a request is until it is sent."""
+        found = (self._holds.get(tried) for tried in request.trials)
+        return [hold for hold in found if hold is not None and hold.in_trial]
 
     def find(self, request: RequestFingerprints) -> hold_module.Hold | None:
         """Return the hold of a request, None if there is none."""
--- a/tests/lib/simulated_crashes.py
+++ b/tests/lib/simulated_crashes.py
@@ -158,7 +158,9 @@
                 continue
             up = [e for e in self._endpoints if e.up_at <= self.now]
             if not up:
+                self._gateways[number].end_trial(request)
                 continue
+            self._gateways[number].record_sent(request)
             endpoint = min(up, key=lambda e: len(e.attempts))
             begun = self._ledgers[number].begin(
                 call_id='',
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -54,6 +54,16 @@
                 if one is not sender:
                     one.receive('peer', report, self.now)
 
+    def send(
+        self, number: int, request: fingerprints.RequestFingerprints
+    ) -> bool:
+        """Return whether a gateway sends a request."""
+        one = self.all[number]
+        if one.admit(request, self.now) is not None:
+            return False
+        one.record_sent(request)
+        return True
+
     def held(self, request: fingerprints.RequestFingerprints) -> list[bool]:
         """Return whether each gateway keeps a request back."""
         return [one.is_held(request) for one in self.all]
@@ -90,6 +100,26 @@
     assert not gateways.all[0].count()
 
 
+def test_a_trial_that_no_endpoint_gets_is_not_spent() -> None:
+    """Another request takes its turn; one at a time."""
+    gateways = Gateways(1)
+    (one,) = gateways.all
+    request = samples.request(body=b'x')
+    for _ in range(3):
+        gateways.crash(0, request)
+        gateways.wait()
+    gateways.wait()
+    gateways.now += hold.EARLY_TRIAL_AGE
+    first, second, third = (samples.request(body=b'x') for _ in range(3))
+    assert one.admit(first, gateways.now) is None
+    assert one.admit(second, gateways.now) is not None
+    one.end_trial(first)
+    assert one.admit(second, gateways.now) is None
+    one.record_sent(second)
+    one.end_trial(second)
+    assert one.admit(third, gateways.now) is not None
+
+
 @pytest.mark.parametrize('are_silent', [True, False])
 def test_requests_at_silent_endpoints_speak_for_nothing(
     are_silent: bool,
@@ -186,10 +216,9 @@
 
 def sent(gateways: Gateways) -> int:
     """Return how many gateways send a request with the held part."""
-    requests = [samples.request('bad') for _ in gateways.all]
     return sum(
-        one.admit(request, gateways.now) is None
-        for one, request in zip(gateways.all, requests, strict=True)
+        gateways.send(number, samples.request('bad'))
+        for number in range(len(gateways.all))
     )
 
 
@@ -210,9 +239,9 @@
     """The endpoints were mended."""
     gateways = hold_bad(3)
     gateways.wait(601)
-    requests = [samples.request('bad') for _ in gateways.all]
-    for one, request in zip(gateways.all, requests, strict=True):
-        if one.admit(request, gateways.now) is None:
+    for number, one in enumerate(gateways.all):
+        request = samples.request('bad')
+        if gateways.send(number, request):
             assert not one.is_held(request)
             assert not one.may_retry(request, gateways.now)
             one.record_answer(request, gateways.now)
@@ -431,7 +460,7 @@
         gateways.wait(0.1)
         for number, one in enumerate(gateways.all):
             request = samples.request(body=b'x')
-            if one.admit(request, gateways.now) is not None:
+            if not gateways.send(number, request):
                 continue
             tried.append(number)
             if is_sound:
