--- a/src/aspenfold/_internal/gateway/body_budget.py
+++ b/src/aspenfold/_internal/gateway/body_budget.py
@@ -20,15 +20,11 @@
 
 
 class BodyBudget:
-    """The bytes that requests have reserved, of ``limit``.
-
-    ``refused`` counts the requests that had no room.
-    """
+    """The bytes that requests have reserved, ``held`` of ``limit``."""
 
     def __init__(self, *, limit: int) -> None:
         self.limit = limit
         self.held = 0
-        self.refused = 0
 
     def reserve(self, size: int, *, total: int) -> bool:
         """Reserve ``size`` bytes for a body that has ``total`` so far.
@@ -39,7 +35,6 @@
         if total > SMALL_BODY_BYTES:
             limit *= LARGE_BODIES_RATIO
         if self.held + size > limit:
-            self.refused += 1
             return False
         self.held += size
         return True
--- a/src/aspenfold/_internal/gateway/endpoint_rate_limit.py
+++ b/src/aspenfold/_internal/gateway/endpoint_rate_limit.py
@@ -83,11 +83,15 @@
         self.senders = senders
         if self.rate is None:
             return
-        rate = max(self.rate, MIN_RATE)
-        burst = BURST if self.rate >= MIN_RATE else MIN_RATE_BURST
-        self._total.set_rate(rate, burst, now)
+        self._total.set_rate(max(self.rate, MIN_RATE), self._burst, now)
         self._set_share(self._base_share, now)
 
+    @property
+    def _burst(self) -> float:
+        """The requests that may be sent to an idle endpoint at once."""
+        is_low = self.rate is not None and self.rate < MIN_RATE
+        return MIN_RATE_BURST if is_low else BURST
+
     @property
     def _base_share(self) -> float:
         """The part of the limit that each sender may use at once."""
@@ -99,9 +103,8 @@
         if self.rate is None:
             return
         self._share = max(self._base_share, min(1.0, share))
-        rate = max(self.rate, MIN_RATE)
-        burst = BURST if self.rate >= MIN_RATE else MIN_RATE_BURST
-        self._own_part.set_rate(rate * self._share, burst, now)
+        rate = max(self.rate, MIN_RATE) * self._share
+        self._own_part.set_rate(rate, self._burst, now)
 
     def _grow_share(self, now: datetime.datetime) -> None:
         """Use more of the limit if all of the part was used lately."""
