Write refusals in one place, and ask for headers only to refuse

Each request with a body copied its headers, which only a refusal needs. The loop kept a timer that nobody read, two tests of the server the same set-up, and a wait of a test had no limit. Behaviour is unchanged; the tests keep their assertions.

--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -2,8 +2,8 @@
 
 What was sent to each start of an endpoint is in the ledger.  Signs of an end
 are a lost connection, an address that accepts none, another start there or
-under the same name, and what peers tell.  Whichever
-comes first, the requests that the start had not answered become evidence.
+under the same name, and what peers tell.  Whichever comes first, the requests
+that the start had not answered become evidence.
 """
 
 import asyncio
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -370,14 +370,12 @@
         delay: datetime.timedelta | None,
         **fields: object,
     ) -> None:
-        body = f'[{int(failure.code)}] {failure.detail}\n'.encode()
+        body = refusal.body(failure)
         headers = [
             (b'content-type', b'text/plain'),
             (b'content-length', str(len(body)).encode()),
+            *refusal.retry_after_headers(delay),
         ]
-        if delay is not None:
-            value = f'{delay.total_seconds():.3f}'.encode()
-            headers.append((b'retry-after', value))
         status = refusal.status(failure.code)
         self._response.start(status, headers)
         self._response.write(body)
--- a/src/aspenfold/_internal/gateway/refusal.py
+++ b/src/aspenfold/_internal/gateway/refusal.py
@@ -58,3 +58,17 @@
     if delay is None:
         return None
     return max(datetime.timedelta(0), min(delay, remaining / 3))
+
+
+def body(failure: exceptions.Failure) -> bytes:
+    """Return the text of a response to a request that failed."""
+    return f'[{int(failure.code)}] {failure.detail}\n'.encode()
+
+
+def retry_after_headers(
+    delay: datetime.timedelta | None,
+) -> list[tuple[bytes, bytes]]:
+    """Return the header that asks for a delay, none without one."""
+    if delay is None:
+        return []
+    return [(b'retry-after', f'{delay.total_seconds():.3f}'.encode())]
--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -119,15 +119,15 @@
 class BodyLimit(typing.Protocol):
     """Decides which bodies are read, by the memory that they take."""
 
-    def reserve(
-        self, size: int, *, total: int, headers: Headers
-    ) -> Refusal | None:
+    def reserve(self, size: int, *, total: int) -> bool:
         """Reserve ``size`` more bytes of a body, ``total`` with these.
 
-        ``headers`` are the request's.  Return the response if there is no
-        room.
+        Return False if there is no room.
         """
 
+    def refuse(self, headers: Headers) -> Refusal:
+        """Return the response to a request without room, by its headers."""
+
     def release(self, size: int) -> None:
         """Give back what was reserved for a request."""
 
@@ -292,13 +292,11 @@
         head = self._head
         if bodies is None or head is None or not size:
             return
-        refusal = bodies.reserve(
-            size, total=self._reserved + size, headers=list(head.headers)
-        )
-        if refusal is None:
+        if bodies.reserve(size, total=self._reserved + size):
             self._reserved += size
             return
         self._stop_timer()
+        refusal = bodies.refuse(list(head.headers))
         self._drop_body()
         self._send_whole_response(
             refusal.status, refusal.headers, refusal.body
--- a/src/aspenfold/_internal/processes/event_loop.py
+++ b/src/aspenfold/_internal/processes/event_loop.py
@@ -23,7 +23,6 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._poll_timer: asyncio.TimerHandle | None = None
         self._poll()
 
     def time(self) -> float:
@@ -32,7 +31,7 @@
 
     def _poll(self) -> None:
         """Look at the time again, before the next timer is due."""
-        self._poll_timer = self.call_later(MAX_POLL_S, self._poll)
+        self.call_later(MAX_POLL_S, self._poll)
 
 
 def run(main: abc.Coroutine[typing.Any, typing.Any, Result]) -> Result:
--- a/tests/functional/test_gateway_memory.py
+++ b/tests/functional/test_gateway_memory.py
@@ -43,6 +43,13 @@
     return float(line.split()[1])
 
 
+async def wait_until_given_back(rig: rigs.Rig) -> None:
+    """Wait until bodies take nothing; raises TimeoutError."""
+    async with asyncio.timeout(rigs.TIMEOUT_S):
+        while await held_bytes(rig):
+            await asyncio.sleep(0.01)
+
+
 async def send_to_silent_endpoint(
     rig: rigs.Rig,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -82,8 +89,7 @@
         assert small.status == 200
         assert await held_bytes(rig) == LARGE_BYTES
         writer.close()
-        while await held_bytes(rig):
-            await asyncio.sleep(0.01)
+        await wait_until_given_back(rig)
         large = await rig.request('/once/', body='x' * LARGE_BYTES)
         assert large.status == 200
         assert len(rig.workers[0].requests) == 3
@@ -106,8 +112,6 @@
             writer.write(sent)
             await asyncio.sleep(0.02)
             writer.close()
-        async with asyncio.timeout(rigs.TIMEOUT_S):
-            while await held_bytes(rig):
-                await asyncio.sleep(0.01)
+        await wait_until_given_back(rig)
 
     run_scenario(scenario)
--- a/tests/unit/test_http1_server.py
+++ b/tests/unit/test_http1_server.py
@@ -37,6 +37,20 @@
         """Return None for every name."""
 
 
+def connect(
+    handler: http1_server.RequestHandler, transport: FakeTransport
+) -> http1_server.ServerConnection:
+    """Return a connection of a server with the default limits."""
+    server = http1_server.Server(
+        handler=handler,
+        clock=clock.MonotonicClock(),
+        limits=lambda: plan.DEFAULT_LIMITS,
+    )
+    connection = http1_server.ServerConnection(owner=server)
+    connection.connection_made(typing.cast(typing.Any, transport))
+    return connection
+
+
 def test_nothing_is_written_to_a_lost_connection() -> None:
     """The transport is closing before ``connection_lost`` is called."""
 
@@ -55,13 +69,7 @@
                 response.write(b'more')
             handled.set()
 
-        server = http1_server.Server(
-            handler=handler,
-            clock=clock.MonotonicClock(),
-            limits=lambda: plan.DEFAULT_LIMITS,
-        )
-        connection = http1_server.ServerConnection(owner=server)
-        connection.connection_made(typing.cast(typing.Any, transport))
+        connection = connect(handler, transport)
         connection.data_received(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
         async with asyncio.timeout(5):
             await handled.wait()
@@ -95,13 +103,7 @@
 
     async def run() -> bytes:
         transport = FakeTransport()
-        server = http1_server.Server(
-            handler=handler,
-            clock=clock.MonotonicClock(),
-            limits=lambda: plan.DEFAULT_LIMITS,
-        )
-        connection = http1_server.ServerConnection(owner=server)
-        connection.connection_made(typing.cast(typing.Any, transport))
+        connection = connect(handler, transport)
         head = b'POST / HTTP/1.1\r\nHost: x\r\n' + headers + b'\r\n\r\n'
         connection.data_received(head + body)
         await asyncio.sleep(0)
