--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,8 @@
-"""Another writer's entries come while a gateway is stopped as planned."""
+"""Two signs by which a gateway, stopped as planned, cuts streams under way.
+
+The first argument names the one to play: ``entries`` of another writer come,
+or a caller expects other ``weights``.
+"""
 
 import pathlib
 import sys
@@ -6,7 +10,9 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
+from standins_2 import caller  # noqa: E402
 from standins_2 import deployment  # noqa: E402
+from standins_2 import endpoint  # noqa: E402
 from standins_2 import gateways  # noqa: E402
 from standins_2 import planned_stop  # noqa: E402
 from standins_2 import store as store_module  # noqa: E402
@@ -28,9 +34,41 @@
         case.note(f'entry {key}: {entry}')
 
 
+async def expect_other_weights(
+    case: deployment.Case, stopped: gateways.Gateway
+) -> None:
+    """Send one request that expects weights which no rank has."""
+    one = caller.Caller(stopped.ip, stopped.port)
+    attempt = await one.call(
+        method='POST',
+        host=deployment.HOST,
+        path='/notes/other',
+        key=deployment.KEY,
+        deadline_ms=planned_stop.DEADLINE_MS,
+        headers=[
+            *planned_stop.MODEL_HEADERS,
+            (endpoint.EXPECTED_VERSION, '2'),
+        ],
+        body=b'prompt',
+    )
+    one.close()
+    case.note(
+        f'{attempt.id} expects version 2, the ranks have 1: '
+        f'{attempt.status} {attempt.end}'
+    )
+
+
+TROUBLES = {
+    'entries': write_foreign_entries,
+    'weights': expect_other_weights,
+}
+
+
 async def play(case: deployment.Case) -> bool:
     """Play the case; return whether the rule held."""
-    return await planned_stop.play(case, write_foreign_entries)
+    name = sys.argv[1]
+    case.note(f'play: {name}')
+    return await planned_stop.play(case, TROUBLES[name])
 
 
 deployment.main(play, FOLDER / 'record.txt')
--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -159,8 +159,9 @@
         print(self._lines[-1], flush=True)
 
     def save(self) -> None:
-        """Write the record."""
-        self._record.write_text('\n'.join(self._lines) + '\n')
+        """Add what was noted to the record."""
+        with self._record.open('a') as record:
+            record.write('\n'.join(self._lines) + '\n')
 
     async def add_endpoint(self, **fields: object) -> endpoint.Endpoint:
         """Start one more endpoint on an address of its own."""
