Log what a 421 stated and which sign replaced an endpoint

Line 513 said 'replaced' whether the list or a 421 had shown it, and nothing logged what either had said.

Change: line 306 has what a 421 stated (the responder, the endpoint at fault) and whether its request had conditions of its own; line 520 which sign made the gateway withdraw requests, under which name, and how many. The responder's name is decoded, nothing decides by it yet.

--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -181,6 +181,15 @@
             now=self._core.clock.now(),
         )
         if head.status_code == statement_recorder.MISDIRECTED_STATUS:
+            names = self._core.header_names
+            statement_recorder.log_misdirection(
+                self._call.id,
+                self._endpoint,
+                statement,
+                is_conditional=bool(
+                    self._call.request.header(names.expected_version)
+                ),
+            )
             return outcome.AttemptResult.REPLACED
         if statement.not_run:
             statement_recorder.log_refusal(
--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -246,11 +246,27 @@
         if successor is not None and successor.name == endpoint.name:
             next_start = successor.incarnation
         end = self._ledger.replace(start, next_start)
+        self._log_replaced(endpoint, successor, end)
         self._record_end(endpoint, start, end, 'replaced')
         for begun in end.begun:
             if begun.stopped_at is None:
                 begun.withdraw()
 
+    def _log_replaced(
+        self,
+        endpoint: directory.Endpoint,
+        successor: directory.Listing | None,
+        end: start_ledger.StartEnd,
+    ) -> None:
+        """Log which sign it was, an entry or a 421, and whom it concerns."""
+        events.emit(
+            events.Event.ENDPOINT_REPLACED,
+            endpoint=endpoint.name,
+            sign='421' if successor is None else 'entry',
+            successor='' if successor is None else successor.incarnation,
+            under_way=sum(one.stopped_at is None for one in end.begun),
+        )
+
     def _record_end(
         self,
         endpoint: directory.Endpoint,
--- a/src/aspenfold/_internal/gateway/endpoint_statement.py
+++ b/src/aspenfold/_internal/gateway/endpoint_statement.py
@@ -21,7 +21,8 @@
 class EndpointStatement:
     """The decoded headers of one response.
 
-    ``attempt_id`` is the attempt that it belongs to, empty if it names none.
+    ``attempt_id`` is the attempt that it belongs to, empty if it names none;
+    ``responder`` is the endpoint that sent it, empty if it doesn't say.
     ``not_run`` is whether the endpoint did not run the request.  Unless it
     is None, ``load`` is the endpoint's load, ``rate_limit`` the requests a
     second that it takes from all gateways, and ``retry_after`` how long it
@@ -33,6 +34,7 @@
     """
 
     attempt_id: str = ''
+    responder: str = ''
     not_run: bool = False
     load: directory.Load | None = None
     rate_limit: float | None = None
--- a/src/aspenfold/_internal/gateway/header_names.py
+++ b/src/aspenfold/_internal/gateway/header_names.py
@@ -14,6 +14,7 @@
     attempt_id: bytes
     time_left_ms: bytes
     expected_endpoint: bytes
+    expected_version: bytes
     organisation: bytes
     signature: bytes
     last_event_id: bytes
--- a/src/aspenfold/_internal/gateway/statement_recorder.py
+++ b/src/aspenfold/_internal/gateway/statement_recorder.py
@@ -128,3 +128,25 @@
         waiting=None if load is None else load.waiting,
         capacity=None if load is None else load.capacity,
     )
+
+
+def log_misdirection(
+    call_id: str,
+    endpoint: directory.Endpoint,
+    statement: endpoint_statement.EndpointStatement,
+    *,
+    is_conditional: bool,
+) -> None:
+    """Log that an endpoint answered 421, with what it stated.
+
+    ``is_conditional`` is whether the request had conditions of its own.
+    """
+    events.emit(
+        events.Event.ATTEMPT_MISDIRECTED,
+        call=call_id,
+        endpoint=endpoint.name,
+        responder=statement.responder,
+        at_fault=statement.at_fault,
+        not_run=statement.not_run,
+        conditional=is_conditional,
+    )
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -35,6 +35,7 @@
     ATTEMPT_ENDED = 303
     ATTEMPT_REFUSED = 304
     ATTEMPT_DECLINED = 305
+    ATTEMPT_MISDIRECTED = 306
     CONFIG_IN_FORCE = 400
     RECORD_REJECTED = 401
     RECORD_WRITTEN = 402
@@ -61,6 +62,7 @@
     QUARANTINE_TRIAL = 517
     ENDPOINT_CHECKED = 518
     CRASH_LEARNT = 519
+    ENDPOINT_REPLACED = 520
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -103,6 +105,8 @@
     Event.ATTEMPT_REFUSED: 'an endpoint gave no complete answer',
     Event.ATTEMPT_DECLINED: 'an endpoint did not run an attempt, with what it '
     'stated',
+    Event.ATTEMPT_MISDIRECTED: 'an endpoint answered 421, with what it stated '
+    'and whether the request had conditions of its own',
     Event.CONFIG_IN_FORCE: 'an entry applied a configuration',
     Event.RECORD_REJECTED: 'a record in the log or store was rejected',
     Event.RECORD_WRITTEN: 'an entry appended a record to the log',
@@ -138,6 +142,8 @@
     'got no complete answer, or why nobody looked',
     Event.CRASH_LEARNT: 'a gateway learnt of a crash, or of more requests '
     'under which it came',
+    Event.ENDPOINT_REPLACED: 'another start is taken to have the place of an '
+    'endpoint, whose requests under way are withdrawn',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/src/aspenfold/platform/endpoint_statements.py
+++ b/src/aspenfold/platform/endpoint_statements.py
@@ -33,6 +33,9 @@
 # The endpoint that made the request fail, not always the one that responds.
 AT_FAULT = b'at-server'
 
+# The endpoint that responds, under its name in the list.
+RESPONDER = b'x-aspenfold-instance-id'
+
 READ_HEADERS = frozenset(
     {
         header_names.HEADER_NAMES.attempt_id,
@@ -42,6 +45,7 @@
         RETRY_AFTER,
         LEAVING,
         AT_FAULT,
+        RESPONDER,
     }
 )
 
@@ -56,7 +60,6 @@
         b'last-modified',
         b'server',
         b'vary',
-        b'x-aspenfold-instance-id',
         b'x-aspenfold-weight-versions',
         header_names.HEADER_NAMES.signature,
     }
@@ -82,6 +85,7 @@
     unknown = [name for name in values if name not in KNOWN_HEADERS]
     return endpoint_statement.EndpointStatement(
         attempt_id=_text(values, header_names.HEADER_NAMES.attempt_id),
+        responder=_text(values, RESPONDER),
         not_run=bool(values.get(NOT_RUN)),
         load=parse_load(values.get(LOAD, b'')),
         rate_limit=rate_limit,
--- a/src/aspenfold/platform/headers.py
+++ b/src/aspenfold/platform/headers.py
@@ -10,6 +10,9 @@
     time_left_ms=b'x-aspenfold-deadline-remaining-ms',
     # An endpoint that is another incarnation responds with 421.
     expected_endpoint=b'x-aspenfold-expect-instance',
+    # The weights that a caller wants; an endpoint with others responds
+    # with 421.
+    expected_version=b'x-aspenfold-expect-version',
     organisation=b'x-aspenfold-tenant',
     # The endpoint's signature of the response; passed on unchanged.
     signature=b'x-aspenfold-response-seal',
