Ask who is at an address before a start counts as ended

Cause: the directory took any other name at an address, and any later start under a name, for the proof that the start before had ended; the crash watch withdrew all requests under way there at once, told the quarantine that they had been at a crash, and nobody asked the endpoint. An entry under an endpoint's own name that said anything else of its start took effect, too.

Evidence: lines 520 of the case, four, sign 'entry', 3 attempts each, within 4 ms of the poll that brought the entries; all 'abandoned' by this side.

Ruled out: the drain, callers, quarantine, outages (no line 103, 203, 514 or 609); SIGTERM only makes the loss one that the rule counts.

An entry at another's address leads to a question to that address, bounded in time and number; the newer entry gets no requests until it is answered. An entry that contradicts its endpoint's start is set aside until it is repeated, at readers and followers alike, and is not what new followers get. Endpoints at one address are all found, not the last one alone.

The start ledger's replace() now takes when the sign was seen; its tests say so. Two tests listed endpoints twice with other facts of one start, or all at one address: they list each once, at an address of its own.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -10,6 +10,7 @@
 from aspenfold._internal.expertmaps import greedy
 from aspenfold._internal.expertmaps import planner
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.kernel import registry
 from aspenfold._internal.models import fleet
 from aspenfold._internal.observability import events
@@ -84,7 +85,7 @@
         endpoints = directory.Directory()
         for number in range(count):
             endpoints.update_listing(
-                directory.Listing(
+                endpoint_listing.Listing(
                     name=f'w-{number}',
                     service='s',
                     host='h',
--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -190,6 +190,9 @@
                     self._call.request.header(names.expected_version)
                 ),
             )
+            self._core.crash_watch.replacements.record_other_responder(
+                self._endpoint
+            )
             return outcome.AttemptResult.REPLACED
         if statement.not_run:
             statement_recorder.log_refusal(
@@ -221,8 +224,6 @@
             endpoints.record_success(self._endpoint)
         elif result is outcome.AttemptResult.NOT_SENT:
             endpoints.record_unreachable(self._endpoint, now)
-        elif result is outcome.AttemptResult.REPLACED:
-            endpoints.record_replacement(self._endpoint)
         elif result is outcome.AttemptResult.GROUP_UNAVAILABLE:
             self._core.outages.record_refusal(
                 self._call.service, self._endpoint.group
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -8,6 +8,7 @@
 from aspenfold._internal.gateway import body_budget
 from aspenfold._internal.gateway import crash_watch
 from aspenfold._internal.gateway import directory as directory_module
+from aspenfold._internal.gateway import endpoint_inquiry
 from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import header_names as header_names_module
@@ -86,6 +87,11 @@
             endpoint_directory=self.directory,
             quarantine=self.quarantine,
             ledger=ledger,
+            inquiry=endpoint_inquiry.EndpointInquiry(
+                header_names=header_names,
+                decode_statement=decode_statement,
+                health_path=self._health_path,
+            ),
             counters=self.metrics,
             clock=clock,
         )
@@ -142,6 +148,12 @@
         known = self.plan_index.plan.services.get(service)
         return known is not None and known.group is not None
 
+    def _health_path(self, service: str) -> str:
+        if self.plan_index is None:
+            return plan_module.DEFAULT_HEALTH_PATH
+        known = self.plan_index.plan.services.get(service)
+        return known.health_path if known else plan_module.DEFAULT_HEALTH_PATH
+
     def group_services(self) -> list[str]:
         """Return the services whose endpoints are ranks of groups."""
         if self.plan_index is None:
--- a/src/aspenfold/_internal/gateway/crash_watch.py
+++ b/src/aspenfold/_internal/gateway/crash_watch.py
@@ -16,6 +16,7 @@
 from aspenfold._internal.gateway import fingerprints
 from aspenfold._internal.gateway import outcome
 from aspenfold._internal.gateway import quarantine as quarantine_module
+from aspenfold._internal.gateway import replacement_watch
 from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import events
@@ -40,6 +41,7 @@
         endpoint_directory: directory.Directory,
         quarantine: quarantine_module.Quarantine,
         ledger: start_ledger.StartLedger,
+        inquiry: replacement_watch.Inquiry,
         counters: metrics.Metrics,
         clock: clock_module.Clock,
     ) -> None:
@@ -52,7 +54,15 @@
         self._tasks: set[asyncio.Task[object]] = set()
         self._checked: set[str] = set()
         self._closed = False
-        endpoint_directory.on_start_ended = self.record_replaced
+        self.replacements = replacement_watch.ReplacementWatch(
+            endpoint_directory=endpoint_directory,
+            ledger=ledger,
+            inquiry=inquiry,
+            clock=clock,
+            spawn=self._spawn_unless_closed,
+            on_ended=self._record_replaced,
+        )
+        endpoint_directory.observer = self.replacements
 
     def close(self) -> None:
         """Begin no further look: attempts are cancelled as the loop ends."""
@@ -66,7 +76,7 @@
     ) -> None:
         """Record that a request is sent; ``withdraw`` closes its connection.
 
-        It is called if another start takes the endpoint's place.
+        It is called once another start has taken the endpoint's place.
         """
         call.begun = self._ledger.begin(
             call_id=call.id,
@@ -109,9 +119,7 @@
         LOST becomes ENDED if the endpoint ended and the request may be the
         cause.
         """
-        if result is outcome.AttemptResult.REPLACED:
-            self.record_replaced(endpoint)
-        elif result is outcome.AttemptResult.NOT_SENT:
+        if result is outcome.AttemptResult.NOT_SENT:
             start = self._ledger.current(endpoint.listing.incarnation)
             self._doubt(endpoint, start)
         begun = call.begun
@@ -182,6 +190,14 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def _spawn_unless_closed(
+        self, work: abc.Coroutine[None, None, None]
+    ) -> None:
+        if self._closed:
+            work.close()
+            return
+        self._spawn(work)
+
     def _doubt(self, endpoint: directory.Endpoint, start: str) -> None:
         """Look, in the background, whether a start of an endpoint ended."""
         if self._closed or start in self._checked:
@@ -235,37 +251,13 @@
         end = self._ledger.end(start)
         self._record_end(endpoint, start, end, 'not listening', at=ended_at)
 
-    def record_replaced(
+    def _record_replaced(
         self,
         endpoint: directory.Endpoint,
-        successor: directory.Listing | None = None,
-    ) -> None:
-        """Record that another start has taken an endpoint's place."""
-        start = endpoint.listing.incarnation
-        next_start = None
-        if successor is not None and successor.name == endpoint.name:
-            next_start = successor.incarnation
-        end = self._ledger.replace(start, next_start)
-        self._log_replaced(endpoint, successor, end)
-        self._record_end(endpoint, start, end, 'replaced')
-        for begun in end.begun:
-            if begun.stopped_at is None:
-                begun.withdraw()
-
-    def _log_replaced(
-        self,
-        endpoint: directory.Endpoint,
-        successor: directory.Listing | None,
+        start: str,
         end: start_ledger.StartEnd,
     ) -> None:
-        """Log which sign it was, an entry or a 421, and whom it concerns."""
-        events.emit(
-            events.Event.ENDPOINT_REPLACED,
-            endpoint=endpoint.name,
-            sign='421' if successor is None else 'entry',
-            successor='' if successor is None else successor.incarnation,
-            under_way=sum(one.stopped_at is None for one in end.begun),
-        )
+        self._record_end(endpoint, start, end, 'replaced')
 
     def _record_end(
         self,
--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -8,9 +8,12 @@
 from collections import abc
 import dataclasses
 import datetime
+import typing
 
 from aspenfold._internal.gateway import endpoint_backoff
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.gateway import endpoint_rate_limit
+from aspenfold._internal.gateway import listing_checks
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.observability import events
@@ -35,50 +38,6 @@
 """Removed endpoints that are remembered, the latest ones."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Listing:
-    """An endpoint's entry in the platform's list.
-
-    ``started_ms`` tells the starts of one endpoint apart: it is the Unix
-    time of this one in milliseconds by the endpoint's clock, None if that is
-    not known.  ``unknown_fields`` of the entry were not read.
-    """
-
-    name: str
-    service: str
-    host: str
-    port: int
-    zone: str
-    capacity: int
-    draining: bool
-    started_ms: int | None = None
-    unknown_fields: tuple[str, ...] = ()
-
-    @property
-    def incarnation(self) -> str:
-        """The name of this start, if starts can be told apart."""
-        if self.started_ms is None:
-            return self.name
-        return f'{self.name}@{self.started_ms}'
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """The IP address and the port."""
-        return self.host, self.port
-
-    def replaces(self, other: 'Listing') -> bool:
-        """Return whether ``other`` has ended, as this one has its place."""
-        if self.name == other.name:
-            return self.is_later_start(other)
-        return self.address == other.address
-
-    def is_later_start(self, other: 'Listing') -> bool:
-        """Return whether the endpoint was started anew since ``other``."""
-        if self.started_ms is None or other.started_ms is None:
-            return False
-        return self.started_ms > other.started_ms
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Load:
     """The load that an endpoint reports: its requests from all gateways."""
@@ -104,10 +63,11 @@
     its group of ranks, empty while that is not known.  Since
     ``missing_since`` it has no entry in the list.  ``rate_limit`` is kept by
     :class:`rate_limits.RateLimits`, None if the endpoint never stated one.
-    ``backoff`` is the time in which it wants no requests.
+    ``backoff`` is the time in which it wants no requests.  Of the endpoints
+    ``disputed_by`` name, which were listed before, any may have its address.
     """
 
-    listing: Listing
+    listing: endpoint_listing.Listing
     leaving: bool = False
     missing_since: datetime.datetime | None = None
     paused_until: datetime.datetime | None = None
@@ -118,6 +78,7 @@
     peer_in_flight: int = 0
     slowdown: float = 1.0
     group: str = ''
+    disputed_by: set[str] = dataclasses.field(default_factory=set)
     rate_limit: endpoint_rate_limit.EndpointRateLimit | None = None
     backoff: endpoint_backoff.EndpointBackoff = dataclasses.field(
         default_factory=endpoint_backoff.EndpointBackoff
@@ -182,19 +143,51 @@
         self.in_flight_at_load = self.in_flight
 
 
+class StartObserver(typing.Protocol):
+    """Is told which starts of endpoints the list speaks against."""
+
+    def on_later_start(
+        self, endpoint: Endpoint, later: endpoint_listing.Listing
+    ) -> None:
+        """Handle an entry of a later start of ``endpoint``."""
+
+    def on_address_conflict(
+        self, endpoint: Endpoint, claimant: Endpoint
+    ) -> None:
+        """Handle an entry of ``claimant``, at the address of ``endpoint``.
+
+        If that is listed, too, it disputes the claimant until
+        :meth:`Directory.end_dispute`.
+        """
+
+
+class _NoObserver:
+    def on_later_start(
+        self, endpoint: Endpoint, later: endpoint_listing.Listing
+    ) -> None:
+        """Do nothing."""
+
+    def on_address_conflict(
+        self, endpoint: Endpoint, claimant: Endpoint
+    ) -> None:
+        """Do nothing."""
+
+
 class Directory:
     """Holds all endpoints by name and selects those that may get requests.
 
-    ``on_start_ended`` is called with an endpoint once the list shows that
-    another start has taken its place, and with the listing of that.
+    An entry may have been written by anyone, so that it doesn't show the end
+    of another endpoint, or of an earlier start; ``observer`` finds that out.
     """
 
     def __init__(self) -> None:
-        self.on_start_ended: abc.Callable[[Endpoint, Listing], None] = _ignore
+        self.observer: StartObserver = _NoObserver()
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
-        self._by_address: dict[tuple[str, int], Endpoint] = {}
+        # Names of listed and of removed endpoints.
+        self._by_address: dict[tuple[str, int], set[str]] = {}
         self._removed: dict[str, Endpoint] = {}
+        self._checks = listing_checks.ListingChecks()
 
     def __len__(self) -> int:
         return len(self._endpoints)
@@ -204,7 +197,7 @@
         return self._endpoints.get(name)
 
     def of_service(self, service: str) -> abc.Sequence[Endpoint]:
-        """Return all known endpoints of a service."""
+        """Return the endpoints of a service, but for those in a dispute."""
         return self._by_service.get(service, ())
 
     def in_flight(self) -> dict[str, int]:
@@ -235,25 +228,45 @@
         """Return the names of all known endpoints."""
         return list(self._endpoints)
 
-    def update_listing(self, listing: Listing) -> bool:
+    def update_listing(self, listing: endpoint_listing.Listing) -> bool:
         """Apply an entry of the list.
 
         Return whether the endpoint is new, was started anew or has started
-        to drain.  Nothing is known of a new start, and entries of an earlier
-        one are ignored.
+        to drain.  Nothing is known of a new start.  An entry that contradicts
+        the known one is ignored until it is repeated.
         """
         known = self._endpoints.get(listing.name)
+        stated = None if known is None else known.listing
+        if not self._checks.accept(listing, stated):
+            self._log_contradiction(listing)
+            return False
         if known is None or listing.is_later_start(known.listing):
             self._add(listing)
             return True
-        if known.listing.is_later_start(listing):
-            return False
         known.missing_since = None
         changed = listing.draining and not known.leaving
         known.leaving = known.leaving or listing.draining
-        known.listing = listing
+        has_moved = known.listing.address != listing.address
+        self._relist(known, listing)
+        if has_moved:
+            self._report_conflicts(known)
+            self._index()
         return changed
 
+    def has_set_aside(self, name: str) -> bool:
+        """Return whether the last entry of this name was ignored."""
+        return self._checks.has_set_aside(name)
+
+    def _log_contradiction(self, listing: endpoint_listing.Listing) -> None:
+        events.emit(
+            events.Event.ENTRY_SET_ASIDE,
+            endpoint=listing.name,
+            service=listing.service,
+            address=f'{listing.host}:{listing.port}',
+            started_ms=listing.started_ms,
+            draining=listing.draining,
+        )
+
     def remove_listing(
         self, name: str, now: datetime.datetime, *, store_available: bool
     ) -> bool:
@@ -291,51 +304,85 @@
             self._forget(name)
         return missing
 
-    def _add(self, listing: Listing) -> None:
+    def _add(self, listing: endpoint_listing.Listing) -> None:
         """Add an endpoint, with what was known of it before its removal."""
-        endpoint = self._removed.pop(listing.name, None)
-        self._report_replaced(listing, endpoint)
-        if endpoint is None or listing.is_later_start(endpoint.listing):
+        known = self._endpoints.get(listing.name)
+        endpoint = known or self._removed.pop(listing.name, None)
+        if endpoint is not None and listing.is_later_start(endpoint.listing):
+            self._relist(endpoint, None)
+            self.observer.on_later_start(endpoint, listing)
+            endpoint = None
+        if endpoint is None:
             endpoint = Endpoint(listing=listing)
-        endpoint.listing = listing
         endpoint.leaving = endpoint.leaving or listing.draining
         endpoint.missing_since = None
         # Updates of peers were not applied meanwhile.
         endpoint.peer_in_flight = 0
         self._endpoints[listing.name] = endpoint
-        self._by_address[listing.address] = endpoint
+        self._relist(endpoint, listing)
+        self._report_conflicts(endpoint)
         self._index()
 
-    def _report_replaced(
-        self, listing: Listing, removed: Endpoint | None
+    def _relist(
+        self, endpoint: Endpoint, listing: endpoint_listing.Listing | None
     ) -> None:
-        """Report the starts whose name or address a new one has."""
-        known = self._endpoints.get(listing.name, removed)
-        holder = self._by_address.get(listing.address)
-        for endpoint in (known, holder):
-            if endpoint is not None and listing.replaces(endpoint.listing):
-                self.on_start_ended(endpoint, listing)
+        """Give an endpoint its new entry, or with None only forget the old."""
+        names = self._by_address.get(endpoint.listing.address, set())
+        names.discard(endpoint.name)
+        if not names:
+            self._by_address.pop(endpoint.listing.address, None)
+        if listing is None:
+            return
+        endpoint.listing = listing
+        self._by_address.setdefault(listing.address, set()).add(listing.name)
+
+    def _report_conflicts(self, claimant: Endpoint) -> None:
+        """Report the endpoints that had the address of a new one."""
+        holders = self._by_address[claimant.listing.address] - {claimant.name}
+        claimant.disputed_by = {
+            name
+            for name in holders
+            if name in self._endpoints
+            and not self._endpoints[name].disputed_by
+        }
+        for name in sorted(holders):
+            holder = self._endpoints.get(name) or self._removed[name]
+            self.observer.on_address_conflict(holder, claimant)
+
+    def end_dispute(self, claimant: Endpoint, holder: str) -> None:
+        """Let a claimant get requests, unless others dispute it."""
+        if holder in claimant.disputed_by:
+            claimant.disputed_by.discard(holder)
+            self._index()
 
     def _forget(self, name: str) -> None:
         endpoint = self._endpoints.pop(name, None)
         if endpoint is None:
             return
+        for claimant in self._by_address[endpoint.listing.address]:
+            if claimant in self._endpoints:
+                self._endpoints[claimant].disputed_by.discard(name)
         self._index()
         self._removed[name] = endpoint
         if len(self._removed) > MAX_REMOVED:
             oldest = self._removed.pop(next(iter(self._removed)))
-            if self._by_address.get(oldest.listing.address) is oldest:
-                del self._by_address[oldest.listing.address]
+            self._relist(oldest, None)
 
     def _index(self) -> None:
         index: dict[str, list[Endpoint]] = {}
         for endpoint in self._endpoints.values():
-            index.setdefault(endpoint.listing.service, []).append(endpoint)
+            if not endpoint.disputed_by:
+                service = endpoint.listing.service
+                index.setdefault(service, []).append(endpoint)
         self._by_service = index
 
     def record_replacement(self, endpoint: Endpoint) -> None:
-        """Forget an endpoint whose address another incarnation uses."""
-        self._forget(endpoint.name)
+        """Forget an endpoint whose address another incarnation uses.
+
+        A later start of it, which may be elsewhere, stays.
+        """
+        if self._endpoints.get(endpoint.name) is endpoint:
+            self._forget(endpoint.name)
 
     def record_unreachable(
         self, endpoint: Endpoint, now: datetime.datetime
@@ -447,10 +494,6 @@
         )
 
 
-def _ignore(endpoint: Endpoint, successor: Listing) -> None:
-    pass
-
-
 def _failure_pause(previous: int) -> datetime.timedelta:
     """Return the pause of an endpoint that was paused ``previous`` times."""
     return min(MAX_FAILURE_PAUSE, FAILURE_PAUSE * 2 ** min(previous, 4))
--- a/src/aspenfold/_internal/gateway/endpoint_connection.py
+++ b/src/aspenfold/_internal/gateway/endpoint_connection.py
@@ -1,6 +1,6 @@
 """Connections to endpoints."""
 
-from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.network import http1_client
 
 CONNECT_TIMEOUT_S = 0.3
@@ -13,14 +13,16 @@
 opens one may be lost."""
 
 
-async def connect(listing: directory.Listing) -> http1_client.Connection:
+async def connect(
+    listing: endpoint_listing.Listing,
+) -> http1_client.Connection:
     """Connect to an endpoint; raises ``http1_client.NotConnected``."""
     return await http1_client.connect(
         listing.host, listing.port, CONNECT_TIMEOUT_S
     )
 
 
-async def is_listening(listing: directory.Listing) -> bool:
+async def is_listening(listing: endpoint_listing.Listing) -> bool:
     """Return whether the endpoint accepts a connection; send nothing."""
     for _ in range(PROBE_ATTEMPTS):
         try:
--- a/src/aspenfold/_internal/gateway/endpoint_feed.py
+++ b/src/aspenfold/_internal/gateway/endpoint_feed.py
@@ -9,6 +9,7 @@
 import datetime
 
 from aspenfold._internal.gateway import directory as directory_module
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.gateway import reader_selection as selection_module
 from aspenfold._internal.gateway import relay
@@ -155,7 +156,6 @@
         if record.value is None:
             self._remove(record.key, self._clock.now())
             return
-        self._entries[record.key] = record
         try:
             listing = self._platform.decode_listing(record.key, record.value)
         except ValueError as exc:
@@ -166,8 +166,7 @@
             )
             return
         self._unknown_fields.log(listing.name, listing.unknown_fields)
-        endpoint = self._directory.get(listing.name)
-        if endpoint is None or endpoint.listing != listing:
+        if self._is_news(listing):
             self._changed.append(record)
         if self._directory.update_listing(listing):
             events.emit(
@@ -177,6 +176,20 @@
                 draining=listing.draining,
                 offset=record.offset,
             )
+        if not self._directory.has_set_aside(listing.name):
+            self._entries[record.key] = record
+
+    def _is_news(self, listing: endpoint_listing.Listing) -> bool:
+        """Return whether followers need an entry.
+
+        One that confirms the known entry, after one that contradicted it, is
+        news, too: else a follower would take the next such one for its
+        repetition.
+        """
+        endpoint = self._directory.get(listing.name)
+        if endpoint is None or endpoint.listing != listing:
+            return True
+        return self._directory.has_set_aside(listing.name)
 
     def _remember_offset(self, record: ports.Record) -> None:
         """Keep the record's offset, so that stale reads can be ignored."""
--- a/src/aspenfold/_internal/gateway/plan.py
+++ b/src/aspenfold/_internal/gateway/plan.py
@@ -77,12 +77,19 @@
     copy_time: datetime.timedelta
 
 
+DEFAULT_HEALTH_PATH = '/health'
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """A set of endpoints that serve the same requests."""
+    """A set of endpoints that serve the same requests.
+
+    Each tells of its health at ``health_path``.
+    """
 
     name: str
     max_connections: int
+    health_path: str = DEFAULT_HEALTH_PATH
     engine_slots: int = 0
     group: GroupShape | None = None
 
--- a/src/aspenfold/_internal/gateway/ports.py
+++ b/src/aspenfold/_internal/gateway/ports.py
@@ -6,7 +6,7 @@
 import typing
 
 from aspenfold._internal.expertmaps import rank_protocol
-from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.gateway import endpoint_statement
 from aspenfold._internal.gateway import plan
 
@@ -131,6 +131,6 @@
     plan_key: str
     decode_plan: abc.Callable[[bytes], plan.Plan]
     endpoint_topic: str
-    decode_listing: abc.Callable[[str, bytes], directory.Listing]
+    decode_listing: abc.Callable[[str, bytes], endpoint_listing.Listing]
     engine: Engine
     decode_statement: endpoint_statement.Decoder
--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -79,6 +79,10 @@
         """When the request last showed its endpoint alive."""
         return self.last_output_at or self.sent_at
 
+    def was_heard(self, since: datetime.datetime) -> bool:
+        """Return whether the response had a part later than ``since``."""
+        return self.last_output_at is not None and self.last_output_at > since
+
     @property
     def output_duration(self) -> datetime.timedelta | None:
         """The time from the first output to the last, None without any."""
@@ -243,6 +247,16 @@
             self._remove(oldest)
         return found
 
+    def count_begun(self, incarnation: str) -> int:
+        """Return how many requests are kept of a start in the list, and of
+        those that followed it unlisted."""
+        names = {incarnation, self.current(incarnation)}
+        return sum(
+            len(self._starts[name].begun)
+            for name in names
+            if name in self._starts
+        )
+
     def count_running(
         self, fingerprint: Fingerprint, now: datetime.datetime
     ) -> int:
@@ -299,11 +313,7 @@
         """
         if incarnation in self._ended:
             return StartEnd()
-        start = self._starts.get(incarnation)
-        later = []
-        if start is not None:
-            later = [one for one in start.begun if one.sent_at > told_at]
-            start.begun = [one for one in start.begun if one not in later]
+        later = self._take(incarnation, lambda one: one.sent_at > told_at)
         end = self.end(incarnation)
         # The peer may know of starts between it and the listed one.
         listed = listed_start(incarnation)
@@ -312,18 +322,59 @@
         self._move(later, self.current(incarnation))
         return end
 
-    def replace(self, incarnation: str, successor: str | None) -> StartEnd:
+    def replace(
+        self,
+        incarnation: str,
+        successor: str | None,
+        seen_at: datetime.datetime,
+    ) -> StartEnd:
         """Return who was at a start whose place another one has.
 
-        If its end was known, what was sent since belongs to the
-        ``successor``, None for one of another name.
+        That showed at ``seen_at``.  A request that was heard of since speaks
+        against it, for itself and for those that were sent after it: they
+        are at the ``successor``, None for one of another name.
         """
-        if incarnation not in self._ended:
-            return self.end(incarnation)
-        start = self._starts.pop(self.current(incarnation), None)
-        if start is not None and successor is not None:
-            self._move(start.begun, successor)
-        return StartEnd()
+        if incarnation in self._ended:
+            followed = self._starts.pop(self.current(incarnation), None)
+            if followed is not None and successor is not None:
+                self._move(followed.begun, successor)
+            return StartEnd()
+        live_from = self._sent_first(incarnation, heard_from=seen_at)
+        live = self._take(
+            incarnation,
+            lambda one: (
+                one.sent_at > seen_at
+                or (live_from is not None and one.sent_at >= live_from)
+            ),
+        )
+        end = self.end(incarnation)
+        self._move(live, successor or self.current(incarnation))
+        return end
+
+    def _sent_first(
+        self, incarnation: str, *, heard_from: datetime.datetime
+    ) -> datetime.datetime | None:
+        """Return when the first request heard of since then was sent."""
+        start = self._starts.get(incarnation)
+        if start is None:
+            return None
+        return min(
+            (one.sent_at for one in start.begun if one.was_heard(heard_from)),
+            default=None,
+        )
+
+    def _take(
+        self, incarnation: str, is_taken: abc.Callable[[BegunRequest], bool]
+    ) -> list[BegunRequest]:
+        """Remove the requests at a start for which ``is_taken`` is true."""
+        start = self._starts.get(incarnation)
+        if start is None:
+            return []
+        taken = [one for one in start.begun if is_taken(one)]
+        start.begun = [one for one in start.begun if not is_taken(one)]
+        if not start.begun:
+            del self._starts[incarnation]
+        return taken
 
     def _move(
         self, moved: abc.Sequence[BegunRequest], incarnation: str
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -63,6 +63,7 @@
     ENDPOINT_CHECKED = 518
     CRASH_LEARNT = 519
     ENDPOINT_REPLACED = 520
+    ENTRY_SET_ASIDE = 521
     ORDER_REFUSED = 601
     LEADERSHIP = 602
     GROUP_FOUND = 603
@@ -142,8 +143,10 @@
     'got no complete answer, or why nobody looked',
     Event.CRASH_LEARNT: 'a gateway learnt of a crash, or of more requests '
     'under which it came',
-    Event.ENDPOINT_REPLACED: 'another start is taken to have the place of an '
-    'endpoint, whose requests under way are withdrawn',
+    Event.ENDPOINT_REPLACED: 'another start has the place of an endpoint, by '
+    'which sign, and how many of its requests were withdrawn',
+    Event.ENTRY_SET_ASIDE: 'an entry contradicts what is known of its '
+    'endpoint; it counts if it is repeated',
     Event.ORDER_REFUSED: 'an engine did not accept an order',
     Event.LEADERSHIP: 'a gateway starts or stops leading the groups',
     Event.GROUP_FOUND: 'a leader has found all ranks of a group',
--- a/src/aspenfold/platform/config.py
+++ b/src/aspenfold/platform/config.py
@@ -89,6 +89,9 @@
 class _Service(_WireModel):
     name: str
     max_connections: int = 0
+    health_path: str = pydantic.Field(
+        default=plan.DEFAULT_HEALTH_PATH, pattern=r'^/[!-~]*$'
+    )
     engine: _Engine | None = None
 
     def decode(self) -> plan.Service:
@@ -106,6 +109,7 @@
         return plan.Service(
             name=self.name,
             max_connections=self.max_connections,
+            health_path=self.health_path,
             engine_slots=engine.slots,
             group=group,
         )
--- a/src/aspenfold/platform/endpoint_records.py
+++ b/src/aspenfold/platform/endpoint_records.py
@@ -5,7 +5,7 @@
 
 import pydantic
 
-from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 
 TOPIC = 'keyed.servers'
 """The endpoints' topic; the key of a record is the endpoint's name."""
@@ -41,14 +41,14 @@
     born: int | None = pydantic.Field(default=None, ge=0)
 
 
-def decode(name: str, value: bytes) -> directory.Listing:
+def decode(name: str, value: bytes) -> endpoint_listing.Listing:
     """Return the endpoint that a record describes.
 
     Raises ValueError, naming the field, if the record is invalid.
     """
     entry = _Entry.model_validate_json(value)
     host, port = _parse_address(entry.address)
-    return directory.Listing(
+    return endpoint_listing.Listing(
         name=name,
         service=entry.service,
         host=host,
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -371,10 +371,8 @@
     """It must be refused, and its retry sent to the group."""
 
     async def scenario(rig: rigs.Rig) -> None:
-        worker = await rig.add_worker('w-1', workers.never_respond, 'model')
-        worker.slots = 1
-        await rig.store.put(
-            rigs.endpoint_records.TOPIC, 'w-1', worker.store_record('model')
+        worker = await rig.add_worker(
+            'w-1', workers.never_respond, 'model', slots=1
         )
         await rig.wait_until_ready()
         _, writer = await rig.connect()
--- a/tests/lib/listings.py
+++ b/tests/lib/listings.py
@@ -1,6 +1,6 @@
 """Entries of endpoints in the platform's list."""
 
-from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 
 
 def make_listing(
@@ -9,12 +9,12 @@
     zone: str = 'z',
     draining: bool = False,
     started_ms: int | None = None,
-) -> directory.Listing:
+) -> endpoint_listing.Listing:
     """Return the entry of an endpoint of the service ``s``."""
-    return directory.Listing(
+    return endpoint_listing.Listing(
         name=name,
         service='s',
-        host='h',
+        host=f'host-of-{name}',
         port=1,
         zone=zone,
         capacity=4,
--- a/tests/unit/test_gateway_admission.py
+++ b/tests/unit/test_gateway_admission.py
@@ -6,6 +6,7 @@
 
 from aspenfold._internal.gateway import admission
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.gateway import plan
 
 SECOND = datetime.timedelta(seconds=1)
@@ -33,7 +34,7 @@
     """Return one rank for each number of requests in flight."""
     return [
         directory.Endpoint(
-            listing=directory.Listing(
+            listing=endpoint_listing.Listing(
                 name=f'e-{i}',
                 service='s',
                 host='h',
--- a/tests/unit/test_group_monitor.py
+++ b/tests/unit/test_group_monitor.py
@@ -7,6 +7,7 @@
 
 from aspenfold._internal.expertmaps import rank_protocol
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.gateway import group_monitor
 from aspenfold._internal.gateway import outages
 from aspenfold._internal.kernel import clock as clock_module
@@ -83,7 +84,7 @@
     for number, group in enumerate(groups):
         name = f'e-{number}'
         core.directory.update_listing(
-            directory.Listing(
+            endpoint_listing.Listing(
                 name=name,
                 service=SERVICE,
                 host=name,
--- a/tests/unit/test_rank_client.py
+++ b/tests/unit/test_rank_client.py
@@ -9,6 +9,7 @@
 from aspenfold._internal.expertmaps import rank_protocol
 from aspenfold._internal.gateway import count_reader
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.gateway import map_planner
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.gateway import ports
@@ -119,7 +120,7 @@
 def endpoint(name: str, zone: str = 'z') -> directory.Endpoint:
     """Return a rank's endpoint."""
     return directory.Endpoint(
-        listing=directory.Listing(
+        listing=endpoint_listing.Listing(
             name=name,
             service='s',
             host=f'10.0.0.{name}',
--- a/tests/unit/test_start_ledger.py
+++ b/tests/unit/test_start_ledger.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 import pytest
 
-from aspenfold._internal.gateway import directory
 from aspenfold._internal.gateway import endpoint_connection
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import http1_client
@@ -110,7 +110,7 @@
     ledger.send(b'first', 0)
     ledger.present()
     ledger.send(b'second', 4)
-    assert ledger.replace(START, 'w-1@2').begun == ()
+    assert ledger.replace(START, 'w-1@2', at(4)).begun == ()
     ledger.send(b'third', 5, 'w-1@2')
     assert ledger.present('w-1@2') == ['second', 'third']
 
@@ -120,10 +120,36 @@
     for successor in ('w-1@2', None):
         ledger = Ledger()
         ledger.send(b'first', 0)
-        (begun,) = ledger.replace(START, successor).begun
+        (begun,) = ledger.replace(START, successor, at(1)).begun
         assert begun.has_ended
 
 
+def test_who_is_heard_after_a_sign_of_the_end_was_not_there() -> None:
+    """Streams at sound endpoints were cut by false signs (issue 45)."""
+    for successor in ('w-1@2', None):
+        ledger = Ledger()
+        ledger.send(b'silent', 0)
+        heard = ledger.send(b'heard', 1)
+        later = ledger.send(b'later', 2)
+        ledger.record_output(heard, at(4))
+        (begun,) = ledger.replace(START, successor, at(3)).begun
+        assert begun.call_id == 'silent'
+        assert not heard.has_ended
+        assert not later.has_ended
+        assert ledger.count_begun(heard.incarnation) == 2
+
+
+def test_a_start_that_is_heard_after_a_sign_has_not_ended() -> None:
+    """Nothing that was sent to it is older than what was heard."""
+    ledger = Ledger()
+    heard = ledger.send(b'heard', 0)
+    ledger.send(b'silent', 1)
+    ledger.record_output(heard, at(4))
+    assert ledger.replace(START, None, at(3)).begun == ()
+    assert ledger.current(START) == START
+    assert ledger.count_begun(START) == 2
+
+
 def test_who_was_sent_after_a_peer_told_of_an_end_was_not_there() -> None:
     """The peer tells it again in each update."""
     ledger = Ledger()
@@ -247,7 +273,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """On a lossy link the packet that opens it is lost now and then."""
-    listing = directory.Listing(
+    listing = endpoint_listing.Listing(
         name='w-1',
         service='plain',
         host='127.0.0.1',
--- a/tests/unit/test_store_feeds.py
+++ b/tests/unit/test_store_feeds.py
@@ -1,10 +1,12 @@
 """Feeds of endpoints and plans, with a fake store and a manual clock."""
 
 import asyncio
+from collections import abc
 import datetime
 import typing
 
 from aspenfold._internal.gateway import directory
+from aspenfold._internal.gateway import endpoint_listing
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.gateway import reader_selection
@@ -75,7 +77,11 @@
 class FeedsHarness:
     """Feeds with a fake store."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        decode: abc.Callable[[str, bytes], endpoint_listing.Listing]
+        | None = None,
+    ) -> None:
         self.store = FakeStore()
         self.clock = clock.ManualClock(start=clock.EPOCH)
         self.consumer = FeedConsumer()
@@ -85,7 +91,7 @@
             plan_key='plan',
             decode_plan=decode_plan,
             endpoint_topic='endpoints',
-            decode_listing=decode_listing,
+            decode_listing=decode or decode_listing,
             engine=None,  # type: ignore[arg-type]
             decode_statement=endpoint_statements.decode,
         )
@@ -137,7 +143,7 @@
     )
 
 
-def decode_listing(name: str, value: bytes) -> directory.Listing:
+def decode_listing(name: str, value: bytes) -> endpoint_listing.Listing:
     """Decode a listing that consists of a state."""
     return listings.make_listing(name, draining=value == b'draining')
 
@@ -390,3 +396,32 @@
     assert other.routable() == ['a', 'b']
     assert versions(harness) == [7]
     assert versions(other) == []
+
+
+def decode_start(name: str, value: bytes) -> endpoint_listing.Listing:
+    """Decode a listing that consists of the time of its start."""
+    if not value.isdigit():
+        raise ValueError('no endpoint writes this')
+    return listings.make_listing(name, started_ms=int(value))
+
+
+def test_an_entry_that_contradicts_its_endpoint_has_to_be_repeated() -> None:
+    """Another writer's ended or hid a sound endpoint (issue 45)."""
+    harness, follower = FeedsHarness(decode_start), FeedsHarness(decode_start)
+    written = [b'9', b'5', b'9', b'5', b'x', b'9', b'5', b'5']
+    known = [9, 9, 9, 9, 9, 9, 9, 5]
+    for offset, (value, expected) in enumerate(
+        zip(written, known, strict=True)
+    ):
+        harness.read_list(page((offset, 'a', value)))
+        harness.feeds.endpoints.publish_changes()
+        relayed_records = harness.published[-1]
+        if relayed_records is not None:
+            follower.feeds.apply_relayed(relayed_records)
+        new = FeedsHarness(decode_start)
+        for line in harness.feeds.snapshot():
+            new.feeds.apply_relayed(line)
+        for gateway in (harness, follower, new):
+            endpoint = gateway.consumer.directory.get('a')
+            assert endpoint is not None
+            assert endpoint.listing.started_ms == expected
