Tell what a 421 refuses before an endpoint counts as replaced

Cause: each 421 was taken for another start at the address, whatever the request expected and though the response named the endpoint that was meant. The endpoint was forgotten and its requests withdrawn.

Change: only a response that names another endpoint proves that one there. One of the endpoint itself refuses this request alone: it goes to another endpoint, and if none that is asked has the weights its caller gets 421 with code 1108, where it was 503, which asked it to come again. One that names nobody has the address asked, unless the request had conditions of its own.

--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -44,6 +44,7 @@
     ENDPOINTS_BACKED_OFF = 1105
     QUARANTINED = 1106
     NO_MEMORY = 1107
+    CONDITION_NOT_MET = 1108
     NO_ENDPOINT = 1200
     DRAINING = 1201
     DEADLINE_PASSED = 1202
@@ -101,6 +102,8 @@
     'not sent to another',
     Code.NO_MEMORY: 'the gateway has no memory left for the body of the '
     'request; retry on another connection',
+    Code.CONDITION_NOT_MET: 'no endpoint that was asked has the weights that '
+    'the request expects',
     Code.NO_ENDPOINT: 'no endpoint of the service accepts requests',
     Code.DRAINING: 'the entry or the endpoint is shutting down',
     Code.DEADLINE_PASSED: 'the deadline passed before the call started',
--- a/src/aspenfold/_internal/gateway/attempt.py
+++ b/src/aspenfold/_internal/gateway/attempt.py
@@ -181,19 +181,7 @@
             now=self._core.clock.now(),
         )
         if head.status_code == statement_recorder.MISDIRECTED_STATUS:
-            names = self._core.header_names
-            statement_recorder.log_misdirection(
-                self._call.id,
-                self._endpoint,
-                statement,
-                is_conditional=bool(
-                    self._call.request.header(names.expected_version)
-                ),
-            )
-            self._core.crash_watch.replacements.record_other_responder(
-                self._endpoint
-            )
-            return outcome.AttemptResult.REPLACED
+            return self._misdirection_result(statement)
         if statement.not_run:
             statement_recorder.log_refusal(
                 self._call.id, self._endpoint, statement, head.status_code
@@ -204,6 +192,30 @@
             return outcome.AttemptResult.LOST
         return outcome.AttemptResult.ANSWERED
 
+    def _misdirection_result(
+        self, statement: endpoint_statement.EndpointStatement
+    ) -> outcome.AttemptResult:
+        """Return the result of a 421, and have its meaning found out.
+
+        It may be for a condition of the caller, which the endpoint doesn't
+        meet.  It is for the gateway's own, that the endpoint is the one meant,
+        if another one says that it has responded.
+        """
+        is_conditional = self._core.is_conditional(self._call.request)
+        statement_recorder.log_misdirection(
+            self._call.id,
+            self._endpoint,
+            statement,
+            is_conditional=is_conditional,
+        )
+        replacements = self._core.crash_watch.replacements
+        if statement.names_other(self._endpoint.name):
+            replacements.record_other_responder(self._endpoint)
+            return outcome.AttemptResult.REPLACED
+        if not statement.responder and not is_conditional:
+            replacements.record_unnamed_refusal(self._endpoint)
+        return outcome.AttemptResult.MISDIRECTED
+
     def _refusal_result(
         self, statement: endpoint_statement.EndpointStatement
     ) -> outcome.AttemptResult:
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -24,6 +24,7 @@
 from aspenfold._internal.gateway import statement_recorder
 from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.kernel import registry
+from aspenfold._internal.network import http1_server
 from aspenfold._internal.observability import events
 from aspenfold._internal.observability import metrics as metrics_module
 from aspenfold._internal.retries import shared_budget
@@ -132,6 +133,10 @@
             organisations=len(plan.organisations),
         )
 
+    def is_conditional(self, request: http1_server.Request) -> bool:
+        """Return whether a caller set conditions on the endpoint."""
+        return bool(request.header(self.header_names.expected_version))
+
     def choose_service(self, route: plan_module.Route) -> str:
         """Choose the service for a request at random by the target weights."""
         if len(route.targets) == 1:
--- a/src/aspenfold/_internal/gateway/endpoint_statement.py
+++ b/src/aspenfold/_internal/gateway/endpoint_statement.py
@@ -45,6 +45,10 @@
     invalid: tuple[InvalidHeader, ...] = ()
     unknown: tuple[str, ...] = ()
 
+    def names_other(self, endpoint: str) -> bool:
+        """Return whether another one than ``endpoint`` has responded."""
+        return self.responder not in ('', endpoint)
+
     def blames_other(self, endpoint: str) -> bool:
         """Return whether another one than ``endpoint`` is at fault."""
         return self.at_fault not in ('', endpoint)
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -255,6 +255,11 @@
         detail = f'{self.endpoint}: {result.value}'
         if result is outcome.AttemptResult.GROUP_UNAVAILABLE:
             self._refuse(Code.GROUP_DOWN, detail)
+        elif (
+            result is outcome.AttemptResult.MISDIRECTED
+            and self._core.is_conditional(self._request)
+        ):
+            self._refuse(Code.CONDITION_NOT_MET, detail)
         elif result is outcome.AttemptResult.QUARANTINED:
             self._refuse_quarantined(
                 self._core.quarantine.find(self._call.fingerprints)
--- a/src/aspenfold/_internal/gateway/outcome.py
+++ b/src/aspenfold/_internal/gateway/outcome.py
@@ -30,6 +30,9 @@
     REPLACED = 'replaced'
     """Another incarnation uses the address; the request did not run."""
 
+    MISDIRECTED = 'misdirected'
+    """The endpoint does not have what the request expects; it did not run."""
+
     FAILED = 'failed'
     """The endpoint may have run the request and responded with a failure."""
 
@@ -57,6 +60,7 @@
         AttemptResult.DECLINED,
         AttemptResult.GROUP_UNAVAILABLE,
         AttemptResult.REPLACED,
+        AttemptResult.MISDIRECTED,
     }
 )
 
--- a/src/aspenfold/_internal/gateway/refusal.py
+++ b/src/aspenfold/_internal/gateway/refusal.py
@@ -19,10 +19,11 @@
     Code.NO_MEMORY: 503,
     Code.DRAINING: 503,
     Code.GROUP_DOWN: 503,
+    Code.CONDITION_NOT_MET: 421,
     Code.ENDPOINT_LOST: 502,
     Code.FATE_UNKNOWN: 504,
 }
-"""HTTP status by result code.  Of these, only 503 promises that the
+"""HTTP status by result code.  Of these, only 421 and 503 promise that the
 request has not run."""
 
 RETRY_AFTER: dict[Code, datetime.timedelta] = {
--- a/tests/functional/test_gateway_signs.py
+++ b/tests/functional/test_gateway_signs.py
@@ -258,3 +258,49 @@
             assert (await rig.request('/safe/')).body == b'answer of asset-1'
 
     asyncio.run(run())
+
+
+def test_a_refusal_for_other_weights_touches_no_other_request() -> None:
+    """Case 5 of the review: a 421 was taken for the endpoint's end (LOST)."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            worker = await add_sound_worker(rig, 'w-1')
+            await rig.wait_until_ready()
+            refused = []
+
+            async def trouble() -> None:
+                for _ in range(3):
+                    refused.append(
+                        await rig.request(
+                            '/stream/', X_Aspenfold_Expect_Version='2'
+                        )
+                    )
+                worker.requests = worker.requests[:STREAMS]
+
+            await check_untouched(
+                rig, trouble, lambda: rig.request('/stream/')
+            )
+            assert [r.status for r in refused] == [421] * 3
+            assert refused[0].body.startswith(b'[1108]')
+
+    asyncio.run(run())
+
+
+def test_a_request_goes_to_an_endpoint_with_the_weights_it_expects() -> None:
+    """One that has others refuses it without running it."""
+
+    async def run() -> None:
+        async with rigs.running_rig() as rig:
+            for name, version in (('w-1', '1'), ('w-2', '2')):
+                worker = await rig.add_worker(name)
+                worker.version = version
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 2)
+            await rig.wait_until_ready()
+            response = await rig.request(
+                '/unsafe/', body='x', X_Aspenfold_Expect_Version='2'
+            )
+            assert response.body == b'answer of w-2'
+            assert rig.gateway.endpoints == 2
+
+    asyncio.run(run())
