Let other tasks run while a server's bytes come without end

Cause: the client parses what is buffered, up to 512 KiB, before it waits for more, and a busy peer refills that each turn; a turn parsed tens of thousands of events. Interim responses were skipped without a limit.

Evidence: 12 of 34 rows of test_an_endless_response_ends_and_holds_up_no_other failed before, by its bounds on a turn's processor time (0.2 s), memory or time, with 8 callers.

Change: the client passes 8 KiB to its parser at once, lets other tasks run after 8 KiB or 64 parsed events without a wait, and ends a response with over 16 interim ones before it.

--- a/src/aspenfold/_internal/network/http1_client.py
+++ b/src/aspenfold/_internal/network/http1_client.py
@@ -13,7 +13,17 @@
 """Reading from the socket pauses while more unread bytes are buffered."""
 
 MAX_HEAD_BYTES = 65_536
-"""Responses whose status line and headers are larger are rejected."""
+"""Responses whose status line and headers are larger are rejected; so are
+lines of chunks and trailers."""
+
+MAX_INTERIM_RESPONSES = 16
+"""Responses with a status of 1xx that may come before the final one."""
+
+PARSED_AT_ONCE_BYTES = 8_192
+
+MAX_EVENTS_PER_TURN = 64
+"""Heads, parts of bodies and ends that are parsed before other tasks run; a
+peer may send them as fast as they are read."""
 
 TCP_USER_TIMEOUT_MS = 4_000
 """The connection is reset if sent bytes stay unacknowledged for longer.
@@ -57,6 +67,8 @@
         self._reset = False
         self._abandoned = False
         self._paused = False
+        self._events_this_turn = 0
+        self._bytes_this_turn = 0
         self._method = b''
         self._complete_end = body_end.BodyEnd.LENGTH
         self.body_end: body_end.BodyEnd | None = None
@@ -76,7 +88,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer ``data``; pause reading if too much is buffered."""
-        self._received.append(data)
+        for begin in range(0, len(data), PARSED_AT_ONCE_BYTES):
+            self._received.append(data[begin : begin + PARSED_AT_ONCE_BYTES])
         self._buffered += len(data)
         if self._buffered > MAX_BUFFERED_BYTES and self._transport is not None:
             self._paused = True
@@ -129,7 +142,7 @@
 
         Raises ConnectionLost.
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._complete_end = body_end.complete_end(event, self._method)
@@ -138,6 +151,10 @@
                 raise self._lost(
                     f'unexpected {event!r:.60}', body_end.BodyEnd.INVALID
                 )
+        raise self._lost(
+            f'over {MAX_INTERIM_RESPONSES} interim responses',
+            body_end.BodyEnd.INVALID,
+        )
 
     async def read_data(self) -> bytes | None:
         """Return the next bytes of the body, or None at its end.
@@ -192,6 +209,13 @@
 
     async def _next_event(self) -> typing.Any:
         while True:
+            if (
+                self._events_this_turn >= MAX_EVENTS_PER_TURN
+                or self._bytes_this_turn >= PARSED_AT_ONCE_BYTES
+            ):
+                await asyncio.sleep(0)
+                self._begin_turn()
+            self._events_this_turn += 1
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as exc:
@@ -206,6 +230,11 @@
                 )
             return event
 
+    def _begin_turn(self) -> None:
+        """Note that other tasks have run."""
+        self._events_this_turn = 0
+        self._bytes_this_turn = 0
+
     def _invalid(self, exc: h11.RemoteProtocolError) -> ConnectionLost:
         """Return the error for what h11 rejected.
 
@@ -237,7 +266,9 @@
                 return
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
+            self._begin_turn()
         data = self._received.popleft()
+        self._bytes_this_turn += len(data)
         self._buffered -= len(data)
         if self._paused and self._buffered <= MAX_BUFFERED_BYTES // 2:
             self._paused = False
