Bound the body of a response that is read as a whole

Cause: reports, counts and maps of ranks, agents' forwards and the store's pages are read by one method, which kept all that came until the call's timeout.

Change: such a body may have 4 MiB, an engine's 1 MiB; a larger one ends the connection, and the call as one without an answer.

--- a/src/aspenfold/_internal/network/http1_client.py
+++ b/src/aspenfold/_internal/network/http1_client.py
@@ -19,6 +19,9 @@
 MAX_INTERIM_RESPONSES = 16
 """Responses with a status of 1xx that may come before the final one."""
 
+MAX_BODY_BYTES = 4_194_304
+"""Default size limit of a body that is read as a whole."""
+
 PARSED_AT_ONCE_BYTES = 8_192
 
 MAX_EVENTS_PER_TURN = 64
@@ -170,23 +173,35 @@
         raise self._lost(f'unexpected {event!r:.60}', body_end.BodyEnd.INVALID)
 
     async def request(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        *,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> tuple[int, bytes]:
         """Send a request and return the response's status and body.
 
-        Closes the connection on any error.  Raises ConnectionLost.
+        Closes the connection on any error.  Raises ConnectionLost, also for
+        a body that is larger than ``max_body_bytes``.
         """
+        received = bytearray()
         try:
             self.send(method, target, headers, body)
             head = await self.read_head()
-            chunks = []
             while (data := await self.read_data()) is not None:
-                chunks.append(data)
+                received += data
+                if len(received) > max_body_bytes:
+                    raise self._lost(
+                        f'body over {max_body_bytes} bytes',
+                        body_end.BodyEnd.INVALID,
+                    )
         except BaseException:
             self.close()
             raise
         self.reset_for_reuse()
-        return head.status_code, b''.join(chunks)
+        return head.status_code, bytes(received)
 
     def reset_for_reuse(self) -> None:
         """Prepare for the next request, or close if that is impossible."""
--- a/src/aspenfold/platform/engine.py
+++ b/src/aspenfold/platform/engine.py
@@ -15,6 +15,10 @@
 CALL_TIMEOUT_S = 0.4
 """Engines respond within milliseconds or, to late orders, not at all."""
 
+MAX_RESPONSE_BYTES = 1_048_576
+"""Size limit of a response; counts and maps of the largest groups have some
+100,000 numbers."""
+
 MIN_SLOWDOWN = 0.1
 """Reported slowdowns below this are implausible and raised to it."""
 
@@ -256,7 +260,13 @@
                 (b'content-length', str(len(body)).encode()),
             ]
         try:
-            response = await connection.request(method, path, headers, body)
+            response = await connection.request(
+                method,
+                path,
+                headers,
+                body,
+                max_body_bytes=MAX_RESPONSE_BYTES,
+            )
         except BaseException:
             # This includes a timeout, which cancels the request.
             connection.close()
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -7,9 +7,15 @@
 import resource
 import time
 
+from aspenfold_standins import platform_worker as workers
 import pytest
 
+from aspenfold._internal.gateway import ports
+from aspenfold._internal.gateway import settings
+from aspenfold._internal.network import http1_client
 from aspenfold.platform import endpoint_records
+from aspenfold.platform import engine
+from aspenfold.platform import store
 from tests.lib import endless_bytes
 from tests.lib import gateway_rig as rigs
 
@@ -26,6 +32,10 @@
 MAX_GROWTH_BYTES = 60_000_000
 """Memory for the callers: some 5 MB each, with a margin for the allocator."""
 
+MAX_SENT_BYTES = 16_000_000
+"""What a server gets rid of on one connection: the limit of a body, and the
+buffers of both sockets."""
+
 
 class Usage(contextlib.AbstractAsyncContextManager['Usage']):
     """The longest turn of the loop and the growth of memory meanwhile."""
@@ -145,3 +155,93 @@
             assert max(call.result() for call in calls) < limit
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('form', endless_bytes.FORMS)
+def test_an_engine_that_answers_without_end_is_left(form: str) -> None:
+    """A gateway or an agent read on until its timeout, whatever came."""
+
+    async def run() -> None:
+        async with endless_server(form) as server:
+            client = engine.EngineClient()
+            async with Usage() as usage:
+                for method in (client.report, client.counts, client.rank_map):
+                    with pytest.raises(ports.EngineUnavailable):
+                        await method('127.0.0.1', server.port)
+            usage.check()
+            assert max(server.sent) < MAX_SENT_BYTES
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('form', endless_bytes.FORMS)
+def test_a_store_that_answers_without_end_is_left(form: str) -> None:
+    """Nothing of it is used."""
+
+    async def run() -> None:
+        async with endless_server(form) as server:
+            client = store.StoreClient(
+                address=settings.TcpAddress(host='127.0.0.1', port=server.port)
+            )
+            async with Usage() as usage:
+                with pytest.raises(ports.StoreUnavailable):
+                    await client.newest('topic')
+            usage.check()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('form', endless_bytes.FORMS)
+def test_an_endless_response_ends_its_connection(form: str) -> None:
+    """What comes behind a whole one belongs to no request."""
+
+    async def run() -> None:
+        async with endless_server(form) as server:
+            connection = await http1_client.connect(
+                '127.0.0.1', server.port, 1.0
+            )
+            async with Usage() as usage:
+                # Callers bound the time.
+                with contextlib.suppress(
+                    http1_client.ConnectionLost, TimeoutError
+                ):
+                    async with asyncio.timeout(ROUTE_TIMEOUT_S):
+                        await connection.request(
+                            b'GET', b'/', [(b'host', b'x')], b''
+                        )
+            usage.check()
+            assert not connection.reusable
+            assert max(server.sent) < MAX_SENT_BYTES
+
+    asyncio.run(run())
+
+
+def test_endless_reports_of_ranks_hold_up_no_caller() -> None:
+    """Three such engines took 600 MB of a gateway in six seconds."""
+
+    async def run() -> None:
+        async with (
+            rigs.running_rig() as rig,
+            contextlib.AsyncExitStack() as stack,
+        ):
+            await rig.add_worker('w-1', workers.complete)
+            servers = []
+            for number in range(3):
+                server = await stack.enter_async_context(
+                    endless_server('body')
+                )
+                name = f'rank-{number}'
+                record = server.store_record(name, 'model')
+                await rig.store.put(endpoint_records.TOPIC, name, record)
+                servers.append(server)
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 4)
+            async with Usage() as usage:
+                while not all(server.sent for server in servers):
+                    assert (await rig.request('/safe/')).status == 200
+                    await asyncio.sleep(0.02)
+                await asyncio.sleep(1.0)
+            usage.check()
+            for server in servers:
+                assert max(server.sent) < MAX_SENT_BYTES
+
+    asyncio.run(run())
