Bound the memory of all buffered responses together

Cause: bodies of requests have a budget, those of responses had none.

Change: responses that are buffered take from 0.15 of the process's memory until their callers have them. Without room reading pauses, so that endpoints wait; the response that was begun first always goes on, and small ones have a tenth of the room to themselves. Sound responses are not failed for it.

Weighed: to refuse what has no room, as for requests; those have not run, and these have.

--- a/src/aspenfold/_internal/gateway/call.py
+++ b/src/aspenfold/_internal/gateway/call.py
@@ -8,6 +8,7 @@
 from aspenfold._internal.gateway import fingerprints as fingerprints_module
 from aspenfold._internal.gateway import forwarding
 from aspenfold._internal.gateway import prompt_parts
+from aspenfold._internal.gateway import response_budget
 from aspenfold._internal.gateway import response_end as end_module
 from aspenfold._internal.gateway import start_ledger
 from aspenfold._internal.kernel import clock as clock_module
@@ -30,9 +31,10 @@
     ``response`` writes to the caller.  ``stream`` holds the events of a
     streamed response and is kept through all attempts.
     ``buffered_response`` is the latest complete response that was not
-    forwarded yet.  ``response_end`` is how the response of the latest attempt
-    ended, None if none began.  ``begun`` is that attempt's place in the ledger
-    of starts, None before it is sent.
+    forwarded yet, and ``hold`` the memory that it takes.  ``response_end`` is
+    how the response of the latest attempt ended, None if none began.
+    ``begun`` is that attempt's place in the ledger of starts, None before it
+    is sent.
     """
 
     clock: clock_module.Clock
@@ -46,6 +48,7 @@
         default_factory=event_stream.EventStream
     )
     buffered_response: BufferedResponse | None = None
+    hold: response_budget.ResponseHold | None = None
     response_end: end_module.ResponseEnd | None = None
     begun: start_ledger.BegunRequest | None = None
     parts: prompt_parts.PromptParts = prompt_parts.NONE
@@ -62,6 +65,12 @@
             )
         return self._fingerprints
 
+    def replace_hold(self, hold: response_budget.ResponseHold | None) -> None:
+        """Give back what the response so far takes, and use another hold."""
+        if self.hold is not None:
+            self.hold.close()
+        self.hold = hold
+
     @property
     def age(self) -> datetime.timedelta:
         """The time since the request was read."""
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -18,6 +18,7 @@
 from aspenfold._internal.gateway import plan_index as plan_index_module
 from aspenfold._internal.gateway import quarantine
 from aspenfold._internal.gateway import rate_limits
+from aspenfold._internal.gateway import response_budget
 from aspenfold._internal.gateway import send_permission
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.gateway import start_ledger
@@ -70,6 +71,7 @@
         )
         self.metrics = metrics_module.Metrics()
         self.body_budget = body_budget.for_memory(cfg.memory_bytes)
+        self.response_budget = response_budget.for_memory(cfg.memory_bytes)
         self.statement_recorder = statement_recorder.StatementRecorder(
             endpoint_directory=self.directory,
             limits=self.rate_limits,
--- a/src/aspenfold/_internal/gateway/exchange.py
+++ b/src/aspenfold/_internal/gateway/exchange.py
@@ -77,9 +77,25 @@
         """Serve the request; cancelled if the caller disconnects."""
         try:
             await self._serve()
+            await self._wait_until_sent()
         finally:
+            self._call.replace_hold(None)
             self._core.quarantine.end_trial(self._call.fingerprints)
 
+    async def _wait_until_sent(self) -> None:
+        """Wait until the caller has most of a buffered response."""
+        if self._call.hold is None:
+            return
+        try:
+            await self._response.drain()
+        except http1_server.CallerDisconnected:
+            # A slow reader may still get the rest, but holds up no others.
+            events.emit(
+                events.Event.CALLER_SLOW,
+                call=self._call.id,
+                age_ms=self._call.age_ms,
+            )
+
     async def _serve(self) -> None:
         route = self._admit()
         if route is None:
--- a/src/aspenfold/_internal/gateway/response_receiver.py
+++ b/src/aspenfold/_internal/gateway/response_receiver.py
@@ -63,14 +63,15 @@
 
         ``splitter`` is None unless the body is an event stream.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
+        hold = self._core.response_budget.open()
+        self._call.replace_hold(hold)
         try:
             while (data := await self._connection.read_data()) is not None:
                 self._core.crash_watch.record_output(self._call)
-                parts.append(data)
-                size += len(data)
-                if size > MAX_BUFFERED_BYTES:
+                await hold.grow(len(data))
+                body += data
+                if len(body) > MAX_BUFFERED_BYTES:
                     return outcome.AttemptResult.LOST
                 if splitter is not None:
                     splitter.feed(data)
@@ -84,7 +85,7 @@
         self._call.buffered_response = call_module.BufferedResponse(
             status=head.status_code,
             headers=list(head.headers),
-            body=b''.join(parts),
+            body=bytes(body),
         )
         if head.status_code < 500:
             return outcome.AttemptResult.ANSWERED
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -29,6 +29,7 @@
     CALLER_LEFT = 203
     CALL_RESUMED = 204
     PROMPT_PARTS_INVALID = 205
+    CALLER_SLOW = 206
     ATTEMPT_OPENED = 300
     ATTEMPT_LOST = 301
     ATTEMPT_STARTED = 302
@@ -99,6 +100,8 @@
     Event.CALL_RESUMED: 'a broken stream resumes at another endpoint',
     Event.PROMPT_PARTS_INVALID: "a call's list of prompt parts has entries "
     'that cannot be read',
+    Event.CALLER_SLOW: 'a caller takes long to read a response, or has left; '
+    'its memory is not counted any more',
     Event.ATTEMPT_OPENED: 'an attempt was sent to an agent or endpoint',
     Event.ATTEMPT_LOST: 'an attempt ended without a complete answer',
     Event.ATTEMPT_STARTED: 'an agent sent an attempt to its endpoint',
--- a/tests/functional/test_gateway_memory.py
+++ b/tests/functional/test_gateway_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 
+from aspenfold_standins import http11
 from aspenfold_standins import platform_worker as workers
 
 from tests.lib import gateway_rig as rigs
@@ -115,3 +116,45 @@
         await wait_until_given_back(rig)
 
     run_scenario(scenario)
+
+
+LARGE_RESPONSES = 30
+RESPONSE_BYTES = 1_000_000
+
+
+async def send_large_response(
+    worker: workers.Worker, exchange: http11.Exchange
+) -> None:
+    """Write a large body slowly enough that all are under way at once."""
+    worker.record_execution(exchange)
+    length = f'content-length: {RESPONSE_BYTES}'
+    await exchange.write(workers.response_head(worker, exchange, length))
+    for _ in range(10):
+        await exchange.write(b'x' * (RESPONSE_BYTES // 10))
+        await asyncio.sleep(0.01)
+
+
+def test_large_responses_at_once_are_delivered_within_the_memory() -> None:
+    """Each had a limit, all together had none, and the process was ended."""
+
+    async def run() -> None:
+        # The part for responses has room for four of them.
+        async with rigs.running_rig(memory_bytes=30_000_000) as rig:
+            for number in range(5):
+                await rig.add_worker(f'w-{number}', send_large_response)
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 5)
+            budget = rig.gateway._core.response_budget
+            calls = [
+                asyncio.create_task(rig.request('/safe/'))
+                for _ in range(LARGE_RESPONSES)
+            ]
+            most_held = 0
+            while not all(call.done() for call in calls):
+                most_held = max(most_held, budget.held)
+                await asyncio.sleep(0)
+            for call in calls:
+                assert len(call.result().body) == RESPONSE_BYTES
+            assert most_held <= budget.limit + RESPONSE_BYTES
+            assert budget.held == 0
+
+    asyncio.run(run())
