Bound what agents and entries read of services without an end

Cause: urllib3 reads whole bodies by itself, with a time limit between two reads only; each event was posted to the loop at once.

Change: bodies are read in parts, of 16 MiB and the call's read timeout at most, else the connection is closed; 64 callbacks wait for the loop at once.

Open: interim responses without end to these clients (docs/PLATFORM.md, table of readers).

--- a/src/aspenfold/_internal/network/endpoint_client.py
+++ b/src/aspenfold/_internal/network/endpoint_client.py
@@ -8,6 +8,7 @@
 from collections import abc
 import concurrent.futures
 import dataclasses
+import threading
 import typing
 
 import orjson
@@ -24,7 +25,15 @@
 
 STREAM_CHUNK_BYTES = 4096
 READ_TIMEOUT_S = 600.0
-"""Seconds without a byte after which a response counts as lost."""
+"""Seconds without a byte, or from the head to the end, after which a response
+counts as lost."""
+
+MAX_POSTED = 64
+"""Callbacks that wait for the loop at once; threads wait for them, so that a
+fast endpoint does not hold the loop."""
+
+POST_TIMEOUT_S = 10.0
+"""Seconds after which a loop that runs no callbacks counts as stopped."""
 
 ENGINE_PRIORITIES = {'interactive': 0, 'generation': 1, 'batch': 2}
 """Engine priority by call priority; lower is more urgent."""
@@ -74,6 +83,7 @@
         self._loop = loop
         self._sink = sink
         self._pool = http.connection_pool(config.base_url, size=threads)
+        self._posts = threading.BoundedSemaphore(MAX_POSTED)
         self._executor = concurrent.futures.ThreadPoolExecutor(
             max_workers=threads, thread_name_prefix='endpoint'
         )
@@ -169,8 +179,9 @@
         streamed = event_splitter.is_event_stream(content_type)
         if not streamed:
             # Pass on the status only once the body is complete.
-            body = response.read()
-            response.release_conn()
+            body = b''.join(
+                http.read_parts(response, timeout_s=READ_TIMEOUT_S)
+            )
             self._post(self._sink.on_head, request, head)
             self._post(self._sink.on_items, request, (body,))
             self._post(self._sink.on_end, request)
@@ -183,7 +194,9 @@
         request: frames.AttemptRequest,
         response: urllib3.BaseHTTPResponse,
     ) -> None:
-        chunks = response.stream(STREAM_CHUNK_BYTES, decode_content=True)
+        chunks = http.read_parts(
+            response, timeout_s=READ_TIMEOUT_S, size=STREAM_CHUNK_BYTES
+        )
         complete = False
         for event in sseclient.SSEClient(_whole_events(chunks)).events():
             if event.data == STREAM_END:
@@ -216,10 +229,21 @@
         request: frames.AttemptRequest,
         *arguments: object,
     ) -> None:
+        if not self._posts.acquire(timeout=POST_TIMEOUT_S):
+            raise RuntimeError('the event loop runs no callbacks')
         self._loop.call_soon_threadsafe(
-            callback, request.attempt_id, *arguments
+            self._deliver, callback, request.attempt_id, *arguments
         )
 
+    def _deliver(
+        self,
+        callback: abc.Callable[..., None],
+        attempt_id: str,
+        *arguments: object,
+    ) -> None:
+        self._posts.release()
+        callback(attempt_id, *arguments)
+
 
 def _whole_events(chunks: abc.Iterable[bytes]) -> abc.Iterator[bytes]:
     """Yield the events of a stream; sseclient would yield a part of one."""
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -10,14 +10,18 @@
 from aspenfold_standins import platform_worker as workers
 import pytest
 
+from aspenfold._internal import exceptions
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.gateway import settings
+from aspenfold._internal.network import host_list_client
 from aspenfold._internal.network import http1_client
 from aspenfold.platform import endpoint_records
 from aspenfold.platform import engine
 from aspenfold.platform import store
 from tests.lib import endless_bytes
 from tests.lib import gateway_rig as rigs
+from tests.unit import test_endpoint_client
+from tests.unit import test_endpoint_streams
 
 CALLERS = 8
 
@@ -245,3 +249,62 @@
                 assert max(server.sent) < MAX_SENT_BYTES
 
     asyncio.run(run())
+
+
+THREADED_FORMS = ('noise', 'one line', 'one header', 'headers', 'body')
+"""Those that are bounded in bytes by the clients of other services; the
+others, in time (docs/PLATFORM.md)."""
+
+
+@pytest.mark.parametrize('form', THREADED_FORMS)
+def test_a_service_that_answers_without_end_is_left(form: str) -> None:
+    """The host list and the log are read by threads."""
+
+    async def run() -> None:
+        async with endless_server(form) as server:
+            client = host_list_client.HostListClient(
+                base_url=f'http://127.0.0.1:{server.port}'
+            )
+            async with Usage() as usage:
+                with pytest.raises(exceptions.AspenfoldError):
+                    await asyncio.to_thread(client.read)
+            usage.check()
+            assert max(server.sent) < 2 * MAX_SENT_BYTES
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('form', [*THREADED_FORMS, 'event'])
+def test_an_endpoint_of_an_agent_that_does_not_end_is_left(form: str) -> None:
+    """Its attempt fails, and its thread serves the next one."""
+
+    async def run() -> None:
+        async with endless_server(form) as server:
+            sink = test_endpoint_streams.ItemSink()
+            async with asyncio.timeout(rigs.TIMEOUT_S):
+                await test_endpoint_client.failure_of(server.port, 'job', sink)
+            assert max(server.sent) < 3 * MAX_SENT_BYTES
+
+    asyncio.run(run())
+
+
+FLOOD_S = 1.0
+
+
+def test_endless_events_of_an_agents_endpoint_hold_no_loop() -> None:
+    """Its thread waits until the loop has taken what it read."""
+
+    async def run() -> None:
+        async with endless_server('events') as server:
+            sink = test_endpoint_streams.ItemSink()
+            async with Usage() as usage:
+                call = asyncio.create_task(
+                    test_endpoint_client.failure_of(server.port, 'job', sink)
+                )
+                await rigs.wait_until(lambda: len(sink.items) > 1000)
+                await asyncio.sleep(FLOOD_S)
+            usage.check()
+            await server.stop()
+            await call
+
+    asyncio.run(run())
