Keep what an endpoint's own 421 states; index entries that change

Read on the diff: a 421 was taken for another endpoint's also where it names the one that was meant, so that its leaving and its limit were lost; and an entry that counts after it was repeated left its endpoint under the service that it had before.

Tests: test_a_421_states_the_leaving_of_whom_it_names and test_an_entry_that_moves_its_endpoint_moves_its_requests failed before.

--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -246,10 +246,11 @@
         known.missing_since = None
         changed = listing.draining and not known.leaving
         known.leaving = known.leaving or listing.draining
-        has_moved = known.listing.address != listing.address
+        before = known.listing
         self._relist(known, listing)
-        if has_moved:
+        if before.address != listing.address:
             self._report_conflicts(known)
+        if before != listing:
             self._index()
         return changed
 
--- a/src/aspenfold/_internal/gateway/start_ledger.py
+++ b/src/aspenfold/_internal/gateway/start_ledger.py
@@ -248,8 +248,10 @@
         return found
 
     def count_begun(self, incarnation: str) -> int:
-        """Return how many requests are kept of a start in the list, and of
-        those that followed it unlisted."""
+        """Return how many requests are kept of a start in the list.
+
+        Those of the unlisted one that followed it count, too.
+        """
         names = {incarnation, self.current(incarnation)}
         return sum(
             len(self._starts[name].begun)
--- a/src/aspenfold/_internal/gateway/statement_recorder.py
+++ b/src/aspenfold/_internal/gateway/statement_recorder.py
@@ -11,7 +11,8 @@
 from aspenfold._internal.observability import metrics
 
 MISDIRECTED_STATUS = 421
-"""Sent by another endpoint, which now uses the address."""
+"""Sent by another endpoint, which now uses the address, or by one that does
+not meet a condition of the request."""
 
 BACKOFF_STATUSES = frozenset({429, 503})
 """Statuses with which a Retry-After speaks of the endpoint itself."""
@@ -50,7 +51,10 @@
         """
         self._unknown_headers.log(endpoint.name, statement.unknown)
         self._log_invalid(endpoint, statement)
-        if status == MISDIRECTED_STATUS:
+        if (
+            status == MISDIRECTED_STATUS
+            and statement.responder != endpoint.name
+        ):
             return
         if statement.load is not None:
             endpoint.update_load(statement.load)
--- a/tests/unit/test_endpoint_statements.py
+++ b/tests/unit/test_endpoint_statements.py
@@ -1,5 +1,6 @@
 """What endpoints state, and what becomes of it at one gateway."""
 
+import dataclasses
 import datetime
 from unittest import mock
 
@@ -246,7 +247,7 @@
 def test_an_endpoint_may_state_its_leaving_in_any_response(
     status: int, leaves: bool
 ) -> None:
-    """A 421 comes from another endpoint that uses the address now."""
+    """A 421 may come from another endpoint that uses the address now."""
     gateway = Gateway()
     gateway.record({b'server-leaving': b'1'}, status=status)
     assert gateway.endpoint.leaving is leaves
@@ -255,6 +256,19 @@
     assert gateway.endpoint.leaving is leaves
 
 
+@pytest.mark.parametrize(
+    ('responder', 'leaves'), [(b'w-1', True), (b'w-2', False), (b'', False)]
+)
+def test_a_421_states_the_leaving_of_whom_it_names(
+    responder: bytes, leaves: bool
+) -> None:
+    """The endpoint itself refuses requests for weights that it lacks."""
+    gateway = Gateway()
+    headers = {b'server-leaving': b'1', b'x-aspenfold-instance-id': responder}
+    gateway.record(headers, status=421)
+    assert gateway.endpoint.leaving is leaves
+
+
 @pytest.mark.parametrize('value', ['yes', '2', 'true', '-1'])
 def test_an_invalid_leaving_is_logged_and_counted(value: str) -> None:
     """Only 1 takes an endpoint out of use."""
@@ -323,3 +337,17 @@
     assert permission == send_permission.Permission(
         obstacle=BACKOFF, until=gateway.now + 2 * SECOND
     )
+
+
+def test_an_entry_that_moves_its_endpoint_moves_its_requests() -> None:
+    """It is repeated, as another service's endpoint at another address."""
+    known = directory.Directory()
+    before = listings.make_listing('w-1')
+    moved = dataclasses.replace(before, service='t', host='other')
+    for listing in (before, moved, moved):
+        known.update_listing(listing)
+    assert not known.of_service('s')
+    (endpoint,) = known.of_service('t')
+    assert endpoint.listing == moved
+    known.update_listing(dataclasses.replace(moved, name='w-2'))
+    assert known.of_service('t') == [endpoint]
