--- a/tests/unit/test_endpoint_statements.py
+++ b/tests/unit/test_endpoint_statements.py
@@ -339,11 +339,14 @@
     )
 
 
-def test_an_entry_that_moves_its_endpoint_moves_its_requests() -> None:
-    """It is repeated, as another service's endpoint at another address."""
+@pytest.mark.parametrize('host', ['host-of-w-1', 'other'])
+def test_an_entry_that_moves_its_endpoint_moves_its_requests(
+    host: str,
+) -> None:
+    """It is repeated, as another service's endpoint or at another address."""
     known = directory.Directory()
     before = listings.make_listing('w-1')
-    moved = dataclasses.replace(before, service='t', host='other')
+    moved = dataclasses.replace(before, service='t', host=host)
     for listing in (before, moved, moved):
         known.update_listing(listing)
     assert not known.of_service('s')
