--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -1,8 +1,8 @@
 """Servers that send bytes without end: each reader closes in time."""
 
 import asyncio
-import contextlib
 from collections import abc
+import contextlib
 import pathlib
 import resource
 import time
