--- a/src/aspenfold/_internal/gateway/directory.py
+++ b/src/aspenfold/_internal/gateway/directory.py
@@ -237,6 +237,11 @@
         """
         known = self._endpoints.get(listing.name)
         stated = None if known is None else known.listing
+        if known is not None and stated == listing:
+            # As nearly each entry: endpoints write theirs each second.
+            self._checks.confirm(listing.name)
+            known.missing_since = None
+            return False
         if not self._checks.accept(listing, stated):
             self._log_contradiction(listing)
             return False
@@ -246,12 +251,11 @@
         known.missing_since = None
         changed = listing.draining and not known.leaving
         known.leaving = known.leaving or listing.draining
-        before = known.listing
+        has_moved = known.listing.address != listing.address
         self._relist(known, listing)
-        if before.address != listing.address:
+        if has_moved:
             self._report_conflicts(known)
-        if before != listing:
-            self._index()
+        self._index()
         return changed
 
     def has_set_aside(self, name: str) -> bool:
--- a/src/aspenfold/_internal/gateway/listing_checks.py
+++ b/src/aspenfold/_internal/gateway/listing_checks.py
@@ -38,6 +38,10 @@
             del self._set_aside[next(iter(self._set_aside))]
         return False
 
+    def confirm(self, name: str) -> None:
+        """Record that an entry says what is known."""
+        self._set_aside.pop(name, None)
+
     def has_set_aside(self, name: str) -> bool:
         """Return whether the last entry of this name did not count."""
         return name in self._set_aside
--- a/src/aspenfold/platform/endpoint_records.py
+++ b/src/aspenfold/platform/endpoint_records.py
@@ -1,5 +1,6 @@
 """Decodes the records that endpoints keep in the platform's store."""
 
+import functools
 import ipaddress
 import typing
 
@@ -17,6 +18,9 @@
 
 MAX_PORT = 65_535
 
+MAX_CACHED_ADDRESSES = 20_000
+"""Addresses whose parts are kept: each endpoint writes its own each second."""
+
 
 class _Entry(pydantic.BaseModel):
     """An endpoint's record; unknown fields are kept to be logged.
@@ -63,6 +67,7 @@
     )
 
 
+@functools.lru_cache(MAX_CACHED_ADDRESSES)
 def _parse_address(address: str) -> tuple[str, int]:
     """Return the IP address and the port; raises ValueError."""
     host, _, port = address.rpartition(':')
