--- a/tests/functional/test_gateway_program.py
+++ b/tests/functional/test_gateway_program.py
@@ -1,16 +1,11 @@
 """``aspenfold-gateway`` as a process: settings, signals, logs, metrics."""
 
 import asyncio
-from collections import abc
-import contextlib
-import dataclasses
 import json
-import os
 import pathlib
 import signal
 import socket
 import subprocess
-import sys
 
 from aspenfold_standins import http11
 from aspenfold_standins import platform_worker as workers
@@ -19,71 +14,16 @@
 from aspenfold._internal.commands import exit_status
 from aspenfold.platform import settings
 from tests.lib import free_ports
+from tests.lib import gateway_program as programs
 from tests.lib import gateway_rig as rigs
 from tests.lib import signals
 
-ADDRESS = f'127.9.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}'
-"""Loopback address of this test run, since the metrics port is fixed."""
-
-PROGRAM = [
-    sys.executable,
-    '-c',
-    'from aspenfold.cli import gateway; gateway.main()',
-]
-
-
 LARGE_BYTES = 4_000_000
-ETHERNET_MSS = 1_460
-
 READ_AFTER_S = 1.6
 """Between the end of the balancer's delay and that of the grace period, as the
 settings of this test have them."""
 
 
-def settings_file(
-    *, callers: int, health: int, peers: list[int], store: int
-) -> dict[str, object]:
-    """Return settings in the platform's format."""
-    return {
-        'node': 'gateway-1',
-        'ip': ADDRESS,
-        'zone': 'zone-a',
-        'listen': {
-            'front': f'{ADDRESS}:{callers}',
-            'ready': f'{ADDRESS}:{health}',
-        },
-        'internal_port_range': peers,
-        'bounds': {'grace_s': 3},
-        'platform': {'address': f'127.0.0.1:{store}'},
-    }
-
-
-def environment(path: pathlib.Path) -> dict[str, str]:
-    """Return an environment that names the settings file."""
-    return {**os.environ, settings.PATH_VARIABLE: str(path)}
-
-
-async def get(port: int, path: str) -> tuple[int, bytes]:
-    """Send a GET request and return the response's status and body."""
-    reader, writer = await asyncio.open_connection(ADDRESS, port)
-    writer.write(f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
-    response = await rigs.read_response(reader)
-    writer.close()
-    return response.status, response.body
-
-
-async def wait_ready(port: int) -> None:
-    """Wait until the process is ready."""
-    async with asyncio.timeout(rigs.TIMEOUT_S):
-        while True:
-            try:
-                if (await get(port, '/api/ready'))[0] == 200:
-                    return
-            except OSError:
-                pass
-            await asyncio.sleep(0.02)
-
-
 async def repeat_sigterm(process: asyncio.subprocess.Process) -> None:
     """Send SIGTERM repeatedly until the process has exited."""
     handle = signals.ProcessHandle(pid=process.pid)
@@ -93,66 +33,14 @@
     handle.close()
 
 
-@dataclasses.dataclass(kw_only=True)
-class Program:
-    """A gateway program that is ready, with its store and one endpoint."""
-
-    rig: rigs.Rig
-    worker: workers.Worker
-    process: asyncio.subprocess.Process
-    callers_port: int
-
-
-@contextlib.asynccontextmanager
-async def running_program(
-    tmp_path: pathlib.Path,
-) -> abc.AsyncIterator[Program]:
-    """Run the program in front of an endpoint that streams slowly."""
-    rig = rigs.Rig()
-    await rig.store.start()
-    await rig.write_plan(rigs.make_plan())
-    worker = await rig.add_worker('w-1', workers.stream_events)
-    worker.event_interval_s = 0.05
-    ports = free_ports.find_ports(ADDRESS, 4)
-    callers, health, first, last = ports
-    path = tmp_path / 'settings.json'
-    path.write_text(
-        json.dumps(
-            settings_file(
-                callers=callers,
-                health=health,
-                peers=[first, last],
-                store=rig.store.port,
-            )
-        )
-    )
-    process = await asyncio.create_subprocess_exec(
-        *PROGRAM,
-        env=environment(path),
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-    )
-    try:
-        await wait_ready(health)
-        yield Program(
-            rig=rig, worker=worker, process=process, callers_port=callers
-        )
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
-        await worker.stop()
-        await rig.store.stop()
-
-
 async def run_program(tmp_path: pathlib.Path) -> tuple[int, str]:
     """Send the program a stream request, SIGHUP and SIGTERM.
 
     Return its exit status and output.
     """
-    async with running_program(tmp_path) as program:
+    async with programs.running_program(tmp_path) as program:
         process, worker = program.process, program.worker
-        status, text = await get(settings.METRICS_PORT, '/metrics')
+        status, text = await programs.get(settings.METRICS_PORT, '/metrics')
         assert status == 200
         for name in (
             'in_flight',
@@ -169,7 +57,7 @@
             assert f'aspenfold_{name}'.encode() in text, name
         process.send_signal(signal.SIGHUP)
         reader, writer = await asyncio.open_connection(
-            ADDRESS, program.callers_port
+            programs.ADDRESS, program.callers_port
         )
         writer.write(program.rig.request_head('/stream/')[1])
         await rigs.wait_until(lambda: worker.executions)
@@ -193,9 +81,9 @@
     """Nothing in the process can tell the caller any more."""
 
     async def run() -> None:
-        async with running_program(tmp_path) as program:
+        async with programs.running_program(tmp_path) as program:
             reader, writer = await asyncio.open_connection(
-                ADDRESS, program.callers_port
+                programs.ADDRESS, program.callers_port
             )
             _, head = program.rig.request_head('/stream/')
             writer.write(head.replace(b'HTTP/1.1', version))
@@ -218,28 +106,16 @@
     await exchange.respond(200, headers, b'x' * LARGE_BYTES)
 
 
-async def open_slow_connection(
-    port: int,
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Open a connection that takes little before it is read."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_MSS)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (ADDRESS, port))
-    return await asyncio.open_connection(sock=sock)
-
-
 def test_a_response_that_is_being_read_at_the_end_arrives(
     tmp_path: pathlib.Path,
 ) -> None:
     """Review, case 3: what the gateway had in its buffers was lost."""
 
     async def run() -> None:
-        async with running_program(tmp_path) as program:
+        async with programs.running_program(tmp_path) as program:
             program.worker.script = answer_large
             opened = [
-                await open_slow_connection(program.callers_port)
+                await programs.open_slow_connection(program.callers_port)
                 for _ in range(3)
             ]
             for _, writer in opened:
@@ -265,10 +141,10 @@
     """Its attempt is cancelled with all else, and can't look after it."""
 
     async def run() -> bytes:
-        async with running_program(tmp_path) as program:
+        async with programs.running_program(tmp_path) as program:
             program.worker.script = workers.never_respond
             _, writer = await asyncio.open_connection(
-                ADDRESS, program.callers_port
+                programs.ADDRESS, program.callers_port
             )
             writer.write(program.rig.request_head('/safe/')[1])
             await rigs.wait_until(lambda: program.worker.executions)
@@ -308,13 +184,13 @@
 ) -> None:
     """Invalid settings must not end in a traceback."""
     path = tmp_path / 'settings.json'
-    env = environment(path)
+    env = programs.environment(path)
     if text is None:
         del env[settings.PATH_VARIABLE]
     else:
         path.write_text(text)
     completed = subprocess.run(
-        PROGRAM, env=env, capture_output=True, text=True, timeout=30
+        programs.PROGRAM, env=env, capture_output=True, text=True, timeout=30
     )
     assert completed.returncode == exit_status.ExitStatus.USAGE
     assert '[5000]' in completed.stderr
@@ -328,11 +204,13 @@
 ) -> None:
     """A port in use must not end in a traceback."""
     names = ('peer_port', 'callers', 'health')
-    ports = dict(zip(names, free_ports.find_ports(ADDRESS, 3), strict=True))
+    ports = dict(
+        zip(names, free_ports.find_ports(programs.ADDRESS, 3), strict=True)
+    )
     path = tmp_path / 'settings.json'
     path.write_text(
         json.dumps(
-            settings_file(
+            programs.settings_file(
                 callers=ports['callers'],
                 health=ports['health'],
                 peers=[ports['peer_port'], ports['peer_port']],
@@ -340,16 +218,16 @@
             )
         )
     )
-    with socket.create_server((ADDRESS, ports[field])):
+    with socket.create_server((programs.ADDRESS, ports[field])):
         completed = subprocess.run(
-            PROGRAM,
-            env=environment(path),
+            programs.PROGRAM,
+            env=programs.environment(path),
             capture_output=True,
             text=True,
             timeout=30,
         )
     assert completed.returncode == exit_status.ExitStatus.FAILED
     assert '[5001]' in completed.stderr
-    assert f'{ADDRESS}:{ports[field]}' in completed.stderr
+    assert f'{programs.ADDRESS}:{ports[field]}' in completed.stderr
     assert field in completed.stderr
     assert 'Traceback' not in completed.stderr
