--- /dev/null
+++ b/tests/functional/test_client_crowds.py
@@ -0,0 +1,145 @@
+"""Crowds of clients that send requests ahead and read no response.
+
+Each test has a process of its own.  It checks nothing that depends on the
+speed of the host.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+
+from aspenfold_standins import platform_worker as workers
+import pytest
+
+from aspenfold_standins import launcher
+from tests.lib import crowds
+from tests.lib import deployment_client
+from tests.lib import gateway_program as programs
+from tests.lib import gateway_rig as rigs
+from tests.lib import process_usage
+
+MEMORY_MB = 128
+"""The memory of the host, by the settings; a gateway's has 300."""
+
+MAX_DESCRIPTORS = 300
+"""Descriptors of the host, by the settings; a gateway's has 4,200."""
+
+CLIENTS = 8
+
+BYTES_PER_MB = 1_000_000
+
+CROWD_BYTES = MEMORY_MB * BYTES_PER_MB
+"""As much as the host has memory, from all clients together."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Crowd:
+    """What each client of a crowd sends, and to which address."""
+
+    request: bytes
+    at_health_port: bool = False
+
+    def port(self, program: programs.Program) -> int:
+        """Return the port to which the crowd connects."""
+        if self.at_health_port:
+            return program.health_port
+        return program.callers_port
+
+
+def get(path: str, host: str = rigs.HOST) -> bytes:
+    """Return a request without any header that it could do without."""
+    return f'GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n'.encode()
+
+
+CROWDS = {
+    'without the usual headers': Crowd(request=get('/safe/')),
+    'without headers, at an open route': Crowd(request=get('/open/')),
+    'at the ready path': Crowd(request=get('/api/ready'), at_health_port=True),
+    'at paths without a route': Crowd(request=get('/nowhere/')),
+}
+
+
+async def check_service(program: programs.Program) -> None:
+    """Check that the process is ready and serves an ordinary request."""
+    status, _ = await programs.get(program.health_port, '/api/ready')
+    assert status == 200
+    _, head = program.rig.request_head('/safe/')
+    response = await programs.send(program.callers_port, head)
+    assert response.status == 200
+    assert response.complete
+
+
+def check_usage(program: programs.Program) -> None:
+    """Check that the process runs and stays within its host."""
+    pid = program.process.pid
+    assert program.process.returncode is None
+    assert process_usage.open_descriptors(pid) <= MAX_DESCRIPTORS
+    assert process_usage.peak_memory(pid) <= MEMORY_MB * BYTES_PER_MB
+
+
+async def run_crowd(crowd: Crowd, directory: pathlib.Path) -> None:
+    """Let a crowd come to a gateway, and look at it then and afterwards."""
+    limits = {'memory_mb': MEMORY_MB, 'max_fds': MAX_DESCRIPTORS}
+    with (directory / 'gateway.log').open('wb') as log:
+        async with programs.running_program(
+            directory, workers.complete, limits, log
+        ) as program:
+            async with crowds.waiting_crowd(
+                crowd.port(program),
+                crowd.request,
+                clients=CLIENTS,
+                total_bytes=CROWD_BYTES,
+            ):
+                await check_service(program)
+                check_usage(program)
+            await check_service(program)
+            check_usage(program)
+
+
+@pytest.mark.parametrize('name', CROWDS)
+def test_a_crowd_leaves_the_gateway_within_its_host(
+    name: str, tmp_path: pathlib.Path
+) -> None:
+    """Issue 48: a process ended, as it ran out of memory."""
+    asyncio.run(run_crowd(CROWDS[name], tmp_path))
+
+
+ENTRY_MEMORY_BYTES = 300 * BYTES_PER_MB
+"""The memory of an entry's host, which its settings do not lower."""
+
+ENTRY_CROWDS = {
+    'without the usual headers': b'POST /services/till/ping HTTP/1.1\r\n'
+    b'Host: x\r\nContent-Length: 0\r\n\r\n',
+    'at the ready path': get('/health/ready'),
+    'at paths without a route': get('/nowhere/'),
+}
+
+
+@pytest.mark.parametrize('name', ENTRY_CROWDS)
+def test_a_crowd_leaves_the_entry_within_its_host(
+    name: str, deployment: launcher.Deployment
+) -> None:
+    """Issue 48, at the program with the other interface for callers."""
+    client = deployment_client.DeploymentClient(deployment)
+    entry = deployment.processes[deployment.entry_names()[0]]
+
+    def check() -> None:
+        ready = deployment.request('GET', f'{entry.url}/health/ready')
+        assert ready.status == 200
+        assert client.post(0, '/services/till/ping', {}).status == 200
+        assert entry.is_running
+        assert process_usage.open_descriptors(entry.pid) <= MAX_DESCRIPTORS
+        assert process_usage.peak_memory(entry.pid) <= ENTRY_MEMORY_BYTES
+
+    async def run() -> None:
+        async with crowds.waiting_crowd(
+            entry.port,
+            ENTRY_CROWDS[name],
+            clients=CLIENTS,
+            total_bytes=ENTRY_MEMORY_BYTES,
+            host=launcher.LOOPBACK,
+        ):
+            await asyncio.to_thread(check)
+        check()
+
+    asyncio.run(run())
