Read what callers send ahead only when it is its turn

What callers saw: eight clients that send requests ahead and read nothing took a gateway from 50 to over 180 MB of 128 within seconds; with more of them its process is killed, and all its callers lose their responses.

Cause: reading paused while more than 64 KiB waited behind a request in progress, but the end of each request resumed it, whatever still waited. So each request of some 40 bytes let in up to 256 KiB more. The size was also taken by copying all that waited, so that time grew with the square of it.

Change: what comes during a request is kept apart from the parser, which gets it in pieces; reading goes on when nothing is left. One read is the most that a connection holds.

Evidence: the new test feeds a connection whenever it reads; before, 13 MB waited after 1,000 turns, now no more than two reads.

--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -18,6 +18,7 @@
 
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.network import input_buffer
 from aspenfold._internal.observability import events
 
 MAX_UNSENT_BYTES = 65_536
@@ -29,8 +30,8 @@
 Longer than callers wait for a response.
 """
 
-MAX_PIPELINED_BYTES = 65_536
-"""Reading pauses while more bytes of the next request are buffered."""
+PARSED_AT_ONCE_BYTES = 8_192
+"""Size of the pieces in which received bytes get to the parser."""
 
 TCP_USER_TIMEOUT_MS = 10_000
 """The connection is reset if sent bytes stay unacknowledged for longer."""
@@ -153,6 +154,8 @@
         self._loop = asyncio.get_running_loop()
         self._limits = owner.limits()
         self._parser = self._new_parser()
+        self._input = input_buffer.InputBuffer()
+        self._reading_paused = False
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
@@ -194,11 +197,14 @@
         self._start_timer(self._limits.idle_timeout)
 
     def data_received(self, data: bytes) -> None:
-        """Parse ``data`` and start the handler of a complete request."""
-        self._parser.receive_data(data)
+        """Parse ``data`` and start the handler of a complete request.
+
+        What comes during a request is kept until its response is complete;
+        no more is read then, so that the caller waits, too.
+        """
+        self._input.put(data)
         if self._task is not None:
-            if len(self._parser.trailing_data[0]) > MAX_PIPELINED_BYTES:
-                self._pause_reading()
+            self._pause_reading()
             return
         if not self._receiving:
             self._receiving = True
@@ -240,8 +246,13 @@
         while self._task is None and self._is_open():
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
-                self._send_continue_if_expected()
-                return
+                piece = self._input.take(PARSED_AT_ONCE_BYTES)
+                if not piece:
+                    self._send_continue_if_expected()
+                    self._resume_reading()
+                    return
+                self._parser.receive_data(piece)
+                continue
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return
             if isinstance(event, h11.Request):
@@ -318,7 +329,7 @@
         transport = self._transport
         if transport is None:
             return
-        transport.pause_reading()
+        self._pause_reading()
         transport.write_eof()
         self._refused = True
         self._loop.call_later(
@@ -381,9 +392,8 @@
         parser.start_next_cycle()
         self._head = None
         self._limits = self._owner.limits()
-        self._receiving = bool(parser.trailing_data[0])
+        self._receiving = bool(self._input or parser.trailing_data[0])
         self._start_timer(self._limits.idle_timeout)
-        self._transport.resume_reading()
         self._parse()
 
     def _reject(self, status: int) -> None:
@@ -418,9 +428,15 @@
             self.abort()
 
     def _pause_reading(self) -> None:
-        if self._transport is not None:
+        if self._transport is not None and not self._reading_paused:
+            self._reading_paused = True
             self._transport.pause_reading()
 
+    def _resume_reading(self) -> None:
+        if self._transport is not None and self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
     def _start_timer(self, timeout: datetime.timedelta) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(
--- a/tests/unit/test_http1_server.py
+++ b/tests/unit/test_http1_server.py
@@ -112,3 +112,101 @@
 
     assert asyncio.run(run()).startswith(b'HTTP/1.1 %d ' % status)
     assert not handled
+
+
+class UnreadTransport(FakeTransport):
+    """A connection whose caller reads nothing before ``read``."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.connection: http1_server.ServerConnection
+        self.reading = True
+        self._high = 0
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Set how many unsent bytes pause writing."""
+        self._high = high
+
+    def get_write_buffer_size(self) -> int:
+        """Return how many bytes are unsent."""
+        return len(self.written)
+
+    def write(self, data: bytes) -> None:
+        """Keep ``data``."""
+        super().write(data)
+        if len(self.written) > self._high:
+            self.connection.pause_writing()
+
+    def read(self) -> bytes:
+        """Return what the caller reads now: all that is unsent."""
+        data, self.written = self.written, b''
+        self.connection.resume_writing()
+        return data
+
+    def pause_reading(self) -> None:
+        """Note that the server reads no more."""
+        assert self.reading
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        """Note that the server reads again."""
+        assert not self.reading
+        self.reading = True
+
+
+SHORT_GET = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+REQUESTS_AHEAD = 500
+RESPONSE_BYTES = 1_000
+
+
+def connect_unread(
+    handler: http1_server.RequestHandler,
+) -> tuple[http1_server.ServerConnection, UnreadTransport]:
+    """Return a connection whose caller reads nothing yet."""
+    transport = UnreadTransport()
+    connection = connect(handler, transport)
+    transport.connection = connection
+    return connection, transport
+
+
+async def respond(
+    request: http1_server.Request, response: http1_server.ResponseWriter
+) -> None:
+    """Respond at once."""
+    response.start(200, [(b'content-length', b'%d' % RESPONSE_BYTES)])
+    response.write(b'x' * RESPONSE_BYTES)
+    response.end()
+
+
+async def run_ready_tasks() -> None:
+    """Run what can run; each request takes a few turns of the loop."""
+    for _ in range(5 * REQUESTS_AHEAD):
+        await asyncio.sleep(0)
+
+
+def test_requests_sent_ahead_are_read_when_it_is_their_turn() -> None:
+    """Issue 48: each response let in more than a request, without end."""
+
+    served = 0
+
+    async def handler(
+        request: http1_server.Request, response: http1_server.ResponseWriter
+    ) -> None:
+        nonlocal served
+        served += len(SHORT_GET)
+        await respond(request, response)
+
+    async def run() -> None:
+        connection, transport = connect_unread(handler)
+        piece = SHORT_GET * REQUESTS_AHEAD
+        received = 0
+        for _ in range(1_000):
+            if transport.reading:
+                connection.data_received(piece)
+                received += len(piece)
+            await asyncio.sleep(0)
+            transport.read()
+        assert served
+        assert received - served <= 2 * len(piece)
+
+    asyncio.run(run())
