Serve no further request of a caller that reads no response

Cause: the next request was begun when the handler of the last one ended, however much of its response, and of those before, was unsent.

Change: the next request of a connection waits until most of what is unsent has been sent.

--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -162,6 +162,7 @@
         self._body_size = 0
         self._reserved = 0
         self._task: asyncio.Task[None] | None = None
+        self._awaits_reader = False
         self._timer: asyncio.TimerHandle | None = None
         self._request_count = 0
         self._receiving = False
@@ -199,11 +200,11 @@
     def data_received(self, data: bytes) -> None:
         """Parse ``data`` and start the handler of a complete request.
 
-        What comes during a request is kept until its response is complete;
-        no more is read then, so that the caller waits, too.
+        What comes during a request is kept until its response is sent; no
+        more is read then, so that the caller waits, too.
         """
         self._input.put(data)
-        if self._task is not None:
+        if self._task is not None or self._awaits_reader:
             self._pause_reading()
             return
         if not self._receiving:
@@ -233,8 +234,11 @@
         self._writable.clear()
 
     def resume_writing(self) -> None:
-        """Let :meth:`drain` return."""
+        """Let :meth:`drain` return, or go on with the next request."""
         self._writable.set()
+        if self._awaits_reader:
+            self._awaits_reader = False
+            self._next_request()
 
     def _parse(self) -> None:
         try:
@@ -381,8 +385,12 @@
         self._send_short_response(500)
 
     def _next_request(self) -> None:
+        """Go on once the caller has most of the last response."""
         if self._transport is None or not self._is_open():
             return
+        if not self._writable.is_set():
+            self._awaits_reader = True
+            return
         parser = self._parser
         if not (
             parser.our_state is h11.DONE and parser.their_state is h11.DONE
--- a/tests/unit/test_http1_server.py
+++ b/tests/unit/test_http1_server.py
@@ -210,3 +210,22 @@
         assert received - served <= 2 * len(piece)
 
     asyncio.run(run())
+
+
+def test_responses_that_are_not_read_hold_up_the_next_requests() -> None:
+    """Issue 48: responses to requests sent ahead filled the memory."""
+
+    async def run() -> None:
+        connection, transport = connect_unread(respond)
+        connection.data_received(SHORT_GET * REQUESTS_AHEAD)
+        await run_ready_tasks()
+        limit = http1_server.MAX_UNSENT_BYTES + 2 * RESPONSE_BYTES
+        assert transport.get_write_buffer_size() <= limit
+        received = b''
+        while data := transport.read():
+            received += data
+            await run_ready_tasks()
+        assert received.count(b'HTTP/1.1 200') == REQUESTS_AHEAD
+        assert transport.reading
+
+    asyncio.run(run())
