Notice callers that leave while nothing is read from them

What callers saw: nothing; but an endpoint went on with the request of a caller that had sent more than 64 KiB ahead and left, up to the timeout of the route, where our users' rule allows half a second.

Cause: the end of a caller shows by reading, and reading pauses while what was sent ahead waits.

Evidence: the new test leaves 100,000 bytes ahead and closes, before the first byte of a response and inside a stream. An end that is stuck behind bytes which the system has no room for can't be noticed.

--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -18,6 +18,7 @@
 
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.network import hangup_watch
 from aspenfold._internal.network import input_buffer
 from aspenfold._internal.observability import events
 
@@ -140,6 +141,7 @@
     handler: RequestHandler
     bodies: BodyLimit | None
     closing: bool
+    hangups: hangup_watch.HangupWatch
     connections: 'set[ServerConnection]'
 
     def limits(self) -> plan.Limits:
@@ -219,6 +221,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
         self._owner.connections.discard(self)
+        self._watch_hangup(False)
         self._stop_timer()
         self._writable.set()
         self._transport = None
@@ -439,11 +442,26 @@
         if self._transport is not None and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
+            self._watch_hangup(True)
 
     def _resume_reading(self) -> None:
         if self._transport is not None and self._reading_paused:
             self._reading_paused = False
             self._transport.resume_reading()
+            self._watch_hangup(False)
+
+    def _watch_hangup(self, watches: bool) -> None:
+        """Watch for the end of a caller from whom nothing is read."""
+        transport = self._transport
+        if transport is None:
+            return
+        sock = transport.get_extra_info('socket')
+        if sock is None:
+            return
+        if watches:
+            self._owner.hangups.add(sock, transport.abort)
+        else:
+            self._owner.hangups.remove(sock)
 
     def _start_timer(self, timeout: datetime.timedelta) -> None:
         self._stop_timer()
@@ -576,6 +594,7 @@
         self.clock = clock
         self.limits = limits
         self.closing = False
+        self.hangups = hangup_watch.HangupWatch()
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -584,3 +584,35 @@
     with rigs.recorded_events() as lines:
         run_scenario(scenario)
     assert events.Event.UNEXPECTED not in {x['event'] for x in lines}
+
+
+LONG_S = 60
+"""Nothing else ends a request within the time of a test."""
+
+BYTES_AHEAD = 100_000
+"""More than is read ahead, and less than the system takes for the gateway."""
+
+
+@pytest.mark.parametrize(
+    'script', [workers.never_respond, workers.stream_events]
+)
+def test_a_caller_that_leaves_behind_requests_ahead_is_noticed(
+    script: workers.Script,
+) -> None:
+    """Issue 48: nothing is read then that would show its end."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        worker = await rig.add_worker('w-1', script)
+        worker.event_interval_s = LONG_S
+        await rig.wait_until_ready()
+        _, writer = await rig.connect()
+        _, head = rig.request_head('/long/')
+        writer.write(head + b'GET / HTTP/1.1\r\nHost: x\r\nX: ')
+        await rigs.wait_until(lambda: worker.executions)
+        writer.write(b'x' * BYTES_AHEAD)
+        await writer.drain()
+        writer.close()
+        await rigs.wait_until(lambda: worker.cancelled_count)
+
+    route = rigs.make_route('/long/', 'streaming', timeout_ms=LONG_S * 1_000)
+    run_scenario(scenario, rigs.make_plan(routes=[route]))
