Keep descriptors for others than idle clients

What callers saw: clients that connect and send nothing took every descriptor that a gateway has; new callers, the platform's question whether it is ready and the gateway's own connections found none.

Cause: each of a process's servers accepted whatever came, 512 in a turn of the loop; nothing related that to limits.max_fds, which was not read.

Change: each server has a part of the sockets, callers a half and every other server a sixteenth. A new connection takes the place of the one that has gone longest without a request in progress, or else of one that has sent requests ahead, which is closed after its response; none with a request in progress is cut. A turn of the loop accepts 16. Event 207 says whom it closed.

--- a/src/aspenfold/_internal/gateway/settings.py
+++ b/src/aspenfold/_internal/gateway/settings.py
@@ -24,7 +24,8 @@
     hosts without callers.  After SIGTERM the process has ``grace_s``
     seconds to exit.  All gateways together may retry ``retry_ratio`` of
     the requests plus ``retry_slack`` in each window that the platform
-    measures.  A process that has more than ``memory_bytes`` is killed.
+    measures.  A process that has more than ``memory_bytes`` is killed, and
+    one that has ``max_sockets`` open can open no more.
     """
 
     name: str
@@ -40,6 +41,7 @@
     retry_ratio: float
     retry_slack: float
     memory_bytes: int
+    max_sockets: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,10 +49,11 @@
     """Settings of the agent on a rank's host.
 
     It listens for leaders on ``listen`` and calls the engine of its rank
-    at ``engine``.
+    at ``engine``.  It can have ``max_sockets`` open.
     """
 
     name: str
     availability_zone: str
     listen: TcpAddress
     engine: TcpAddress
+    max_sockets: int
--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -18,6 +18,7 @@
 
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.network import connection_table
 from aspenfold._internal.network import hangup_watch
 from aspenfold._internal.network import input_buffer
 from aspenfold._internal.observability import events
@@ -142,7 +143,7 @@
     bodies: BodyLimit | None
     closing: bool
     hangups: hangup_watch.HangupWatch
-    connections: 'set[ServerConnection]'
+    connections: 'connection_table.ConnectionTable[ServerConnection]'
 
     def limits(self) -> plan.Limits:
         """Return the current size limits and timeouts."""
@@ -165,6 +166,7 @@
         self._reserved = 0
         self._task: asyncio.Task[None] | None = None
         self._awaits_reader = False
+        self._closes_after_response = False
         self._timer: asyncio.TimerHandle | None = None
         self._request_count = 0
         self._receiving = False
@@ -196,8 +198,10 @@
         peer = transport.get_extra_info('peername')
         if peer is not None:
             self._remote_ip = peer[0]
-        self._owner.connections.add(self)
         self._start_timer(self._limits.idle_timeout)
+        surplus = self._owner.connections.add(self)
+        if surplus is not None:
+            surplus.close_for_another()
 
     def data_received(self, data: bytes) -> None:
         """Parse ``data`` and start the handler of a complete request.
@@ -208,6 +212,7 @@
         self._input.put(data)
         if self._task is not None or self._awaits_reader:
             self._pause_reading()
+            self._owner.connections.note_ahead(self)
             return
         if not self._receiving:
             self._receiving = True
@@ -220,7 +225,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
-        self._owner.connections.discard(self)
+        self._owner.connections.remove(self)
         self._watch_hangup(False)
         self._stop_timer()
         self._writable.set()
@@ -363,6 +368,9 @@
         self._body = []
         self.started = False
         self._request_count += 1
+        self._owner.connections.begin_request(self)
+        if self._input:
+            self._owner.connections.note_ahead(self)
         self._task = self._loop.create_task(self._handle(request))
 
     async def _handle(self, request: Request) -> None:
@@ -379,6 +387,7 @@
         finally:
             self._task = None
             self._drop_body()
+            self._owner.connections.end_request(self)
         self._next_request()
 
     def _send_internal_error(self) -> None:
@@ -395,7 +404,7 @@
             self._awaits_reader = True
             return
         parser = self._parser
-        if not (
+        if self._closes_after_response or not (
             parser.our_state is h11.DONE and parser.their_state is h11.DONE
         ):
             self._transport.close()
@@ -487,7 +496,7 @@
         connection if the caller speaks HTTP/1.0.
         """
         reason = http.HTTPStatus(status).phrase.encode()
-        if self._owner.closing:
+        if self._owner.closing or self._closes_after_response:
             headers = [*headers, (b'connection', b'close')]
         self.started = True
         self._resets_on_close = self._ends_with_connection(headers)
@@ -567,6 +576,26 @@
             transport is not None and transport.get_write_buffer_size() > 0
         )
 
+    def close_for_another(self) -> None:
+        """Close the connection, as there is no room for another one.
+
+        A request in progress has its response first.
+        """
+        events.emit(
+            events.Event.CONNECTION_CLOSED,
+            remote=self._remote_ip,
+            requests=self._request_count,
+            connections=self._owner.connections.limit,
+        )
+        self._closes_after_response = True
+        transport = self._transport
+        if transport is None or self._task is not None:
+            return
+        if transport.get_write_buffer_size() > 0:
+            transport.abort()
+        else:
+            transport.close()
+
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
         if self.idle and self._transport is not None:
@@ -586,6 +615,7 @@
         handler: RequestHandler,
         clock: clock_module.Clock,
         limits: abc.Callable[[], plan.Limits],
+        max_connections: int,
         bodies: BodyLimit | None = None,
     ) -> None:
         """``bodies`` is None where all bodies are small."""
@@ -595,19 +625,22 @@
         self.limits = limits
         self.closing = False
         self.hangups = hangup_watch.HangupWatch()
-        self.connections: set[ServerConnection] = set()
+        self.connections: connection_table.ConnectionTable[
+            ServerConnection
+        ] = connection_table.ConnectionTable(limit=max_connections)
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Start listening; return the port, which 0 leaves to the system."""
         loop = asyncio.get_running_loop()
+        sock = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self._server = await loop.create_server(
             lambda: ServerConnection(owner=self),
-            host,
-            port,
-            backlog=ACCEPT_BACKLOG,
-            reuse_address=True,
+            sock=sock,
+            backlog=MAX_ACCEPTED_PER_TURN,
         )
+        # The loop has taken its own limit for the system's queue, too.
+        sock.listen(LISTEN_BACKLOG)
         return int(self._server.sockets[0].getsockname()[1])
 
     def count_busy(self) -> int:
@@ -616,7 +649,7 @@
 
     def close_idle(self) -> None:
         """Close the connections that are idle."""
-        for connection in list(self.connections):
+        for connection in self.connections:
             connection.close_if_idle()
 
     def close(self) -> None:
@@ -625,5 +658,9 @@
             self._server.close()
 
 
-ACCEPT_BACKLOG = 512
+LISTEN_BACKLOG = 512
 """Connections that the system queues until they are accepted."""
+
+MAX_ACCEPTED_PER_TURN = 16
+"""Connections that a turn of the loop accepts.  Those for which there is no
+room are closed some turns later."""
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -30,6 +30,7 @@
     CALL_RESUMED = 204
     PROMPT_PARTS_INVALID = 205
     CALLER_SLOW = 206
+    CONNECTION_CLOSED = 207
     ATTEMPT_OPENED = 300
     ATTEMPT_LOST = 301
     ATTEMPT_STARTED = 302
@@ -102,6 +103,8 @@
     'that cannot be read',
     Event.CALLER_SLOW: 'a caller takes long to read a response, or has left; '
     'its memory is not counted any more',
+    Event.CONNECTION_CLOSED: "a caller's connection without a request in "
+    'progress was closed to make room for another one',
     Event.ATTEMPT_OPENED: 'an attempt was sent to an agent or endpoint',
     Event.ATTEMPT_LOST: 'an attempt ended without a complete answer',
     Event.ATTEMPT_STARTED: 'an agent sent an attempt to its endpoint',
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -43,6 +43,13 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
+CALLERS_RATIO = 0.5
+"""Part of a process's sockets for callers.  A request takes one of its
+caller and one to an endpoint."""
+
+INTERNAL_RATIO = 0.0625
+"""Part of the sockets for each other server: health, metrics, peers."""
+
 PEER_UPDATE_CHECK_INTERVAL_S = 0.025
 """How often to check whether an update to peers is due."""
 
@@ -141,7 +148,9 @@
         self.metrics_port = 0
         self.relay_port = 0
         self._caller_server = self._create_server(
-            self._handle_request, body_gate.BodyGate(core=self._core)
+            self._handle_request,
+            body_gate.BodyGate(core=self._core),
+            CALLERS_RATIO,
         )
         self._health_server = self._create_server(self._send_health)
         self._metrics_server = self._create_server(self._send_metrics)
@@ -159,10 +168,12 @@
         self,
         handler: http1_server.RequestHandler,
         bodies: http1_server.BodyLimit | None = None,
+        sockets_ratio: float = INTERNAL_RATIO,
     ) -> http1_server.Server:
         return http1_server.Server(
             handler=handler,
             bodies=bodies,
+            max_connections=int(self._cfg.max_sockets * sockets_ratio),
             clock=self._clock,
             limits=lambda: self._core.limits,
         )
--- a/src/aspenfold/_internal/processes/rank_agent.py
+++ b/src/aspenfold/_internal/processes/rank_agent.py
@@ -26,6 +26,10 @@
 
 DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=10)
 
+LEADERS_RATIO = 0.5
+"""Part of a process's sockets for leaders.  A request takes one to the engine,
+too."""
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -58,6 +62,7 @@
             handler=self._handle_request,
             clock=clock,
             limits=lambda: plan.DEFAULT_LIMITS,
+            max_connections=int(cfg.max_sockets * LEADERS_RATIO),
         )
         self.forwarded = 0
         self.engine_failures = 0
--- a/src/aspenfold/platform/settings.py
+++ b/src/aspenfold/platform/settings.py
@@ -22,6 +22,9 @@
 
 BYTES_PER_MB = 1_000_000
 
+FILE_DESCRIPTORS = 200
+"""Descriptors of a process that the platform reserves for files."""
+
 READ_ATTEMPTS = 11
 
 READ_RETRY_DELAY_S = 0.05
@@ -49,6 +52,12 @@
 
 class _Limits(_WireModel):
     memory_mb: float = pydantic.Field(default=300, gt=0)
+    max_fds: int = pydantic.Field(default=1024, gt=FILE_DESCRIPTORS)
+
+    @property
+    def max_sockets(self) -> int:
+        """Descriptors that are left for sockets."""
+        return self.max_fds - FILE_DESCRIPTORS
 
 
 class _Store(_WireModel):
@@ -72,6 +81,7 @@
 class _RankFile(_Host):
     # Address of this host's engine.
     app: str
+    limits: _Limits = _Limits()
 
 
 class _File(_Host):
@@ -119,6 +129,7 @@
         retry_ratio=data.bounds.retry_budget_ratio,
         retry_slack=data.bounds.retry_budget_slack,
         memory_bytes=int(data.limits.memory_mb * BYTES_PER_MB),
+        max_sockets=data.limits.max_sockets,
     )
 
 
@@ -142,6 +153,7 @@
         availability_zone=data.zone,
         listen=settings.TcpAddress(host=data.ip, port=data.agent_port),
         engine=parse_address(data.app, 'app'),
+        max_sockets=data.limits.max_sockets,
     )
 
 
--- a/tests/functional/test_client_crowds.py
+++ b/tests/functional/test_client_crowds.py
@@ -38,6 +38,8 @@
 
     request: bytes
     at_health_port: bool = False
+    clients: int = CLIENTS
+    total_bytes: int = CROWD_BYTES
 
     def port(self, program: programs.Program) -> int:
         """Return the port to which the crowd connects."""
@@ -87,8 +89,8 @@
             async with crowds.waiting_crowd(
                 crowd.port(program),
                 crowd.request,
-                clients=CLIENTS,
-                total_bytes=CROWD_BYTES,
+                clients=crowd.clients,
+                total_bytes=crowd.total_bytes,
             ):
                 await check_service(program)
                 check_usage(program)
@@ -104,6 +106,24 @@
     asyncio.run(run_crowd(CROWDS[name], tmp_path))
 
 
+IDLE_CLIENTS = 400
+"""More than the gateway can have descriptors."""
+
+
+@pytest.mark.parametrize('at_health_port', [False, True])
+def test_a_crowd_without_requests_leaves_descriptors_for_others(
+    at_health_port: bool, tmp_path: pathlib.Path
+) -> None:
+    """Issue 48: the gateway accepted connections until none was left."""
+    crowd = Crowd(
+        request=get('/safe/'),
+        at_health_port=at_health_port,
+        clients=IDLE_CLIENTS,
+        total_bytes=0,
+    )
+    asyncio.run(run_crowd(crowd, tmp_path))
+
+
 ENTRY_MEMORY_BYTES = 300 * BYTES_PER_MB
 """The memory of an entry's host, which its settings do not lower."""
 
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -31,6 +31,7 @@
 """Limit of each wait, so that a failing test ends."""
 
 MEMORY_BYTES = 300_000_000
+MAX_SOCKETS = 4_000
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -117,6 +118,7 @@
         retry_ratio=0.2,
         retry_slack=90.0,
         memory_bytes=memory_bytes,
+        max_sockets=MAX_SOCKETS,
     )
     return gateway.GatewayProcess(
         cfg=cfg,
--- a/tests/unit/test_http1_server.py
+++ b/tests/unit/test_http1_server.py
@@ -9,6 +9,8 @@
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import http1_server
 
+MAX_CONNECTIONS = 4
+
 
 class FakeTransport:
     """Records written bytes; fails on writes after ``lost`` is set."""
@@ -45,6 +47,7 @@
         handler=handler,
         clock=clock.MonotonicClock(),
         limits=lambda: plan.DEFAULT_LIMITS,
+        max_connections=MAX_CONNECTIONS,
     )
     connection = http1_server.ServerConnection(owner=server)
     connection.connection_made(typing.cast(typing.Any, transport))
