Count all that callers send against the memory of the process

What callers saw: the gateway ended when many sent ahead, each within the bound of its connection; at the ready, metrics and peers' addresses bodies were read without any bound together.

Cause: only bodies at the callers' address had a budget. Bytes that wait for their turn, incomplete heads and parsed heads had none; a head of short headers takes forty times its size, and a body in small chunks, kept as a list of them, took twenty-two times what was counted.

Change: a second budget, a tenth of limits.memory_mb, for heads and for what comes before its turn, with what the system holds at least for a connection that is not read. All servers, the rank agent's too, count against budgets. Bodies are kept in one piece. Gauge: aspenfold_input_bytes.

--- a/src/aspenfold/_internal/gateway/body_budget.py
+++ b/src/aspenfold/_internal/gateway/body_budget.py
@@ -12,6 +12,10 @@
 """Part of a process's memory for bodies.  While one is sent to an endpoint
 there is a second copy of it, and for a moment a third."""
 
+INPUT_RATIO = 0.1
+"""Part of a process's memory for heads, and for what callers send before it
+is its turn."""
+
 SMALL_BODY_BYTES = 16_384
 
 LARGE_BODIES_RATIO = 0.9
@@ -45,5 +49,10 @@
 
 
 def for_memory(memory_bytes: int) -> BodyBudget:
-    """Return the budget of a process with so much memory."""
+    """Return the budget for bodies of a process with so much memory."""
     return BodyBudget(limit=int(memory_bytes * MEMORY_RATIO))
+
+
+def for_input(memory_bytes: int) -> BodyBudget:
+    """Return the budget for heads and for what callers send early."""
+    return BodyBudget(limit=int(memory_bytes * INPUT_RATIO))
--- a/src/aspenfold/_internal/gateway/core.py
+++ b/src/aspenfold/_internal/gateway/core.py
@@ -71,6 +71,7 @@
         )
         self.metrics = metrics_module.Metrics()
         self.body_budget = body_budget.for_memory(cfg.memory_bytes)
+        self.input_budget = body_budget.for_input(cfg.memory_bytes)
         self.response_budget = response_budget.for_memory(cfg.memory_bytes)
         self.statement_recorder = statement_recorder.StatementRecorder(
             endpoint_directory=self.directory,
--- a/src/aspenfold/_internal/gateway/settings.py
+++ b/src/aspenfold/_internal/gateway/settings.py
@@ -49,11 +49,13 @@
     """Settings of the agent on a rank's host.
 
     It listens for leaders on ``listen`` and calls the engine of its rank
-    at ``engine``.  It can have ``max_sockets`` open.
+    at ``engine``.  A process that has more than ``memory_bytes`` is killed,
+    and one that has ``max_sockets`` open can open no more.
     """
 
     name: str
     availability_zone: str
     listen: TcpAddress
     engine: TcpAddress
+    memory_bytes: int
     max_sockets: int
--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -18,6 +18,7 @@
 
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.network import caller_memory
 from aspenfold._internal.network import connection_table
 from aspenfold._internal.network import hangup_watch
 from aspenfold._internal.network import input_buffer
@@ -41,12 +42,15 @@
 UNREAD_CLOSE_DELAY = datetime.timedelta(milliseconds=200)
 """Time for a caller to read the response to a request that is not read."""
 
+UNREAD_BYTES = 65_536
+"""What the system holds, at least, for a connection that is not read."""
+
 LINGER_RESET = struct.pack('ii', 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
 
 LINGER_DEFAULT = struct.pack('ii', 0, 0)
 
-Headers = list[tuple[bytes, bytes]]
+Headers = caller_memory.Headers
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -110,37 +114,12 @@
 RequestHandler = abc.Callable[[Request, ResponseWriter], abc.Awaitable[None]]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Refusal:
-    """A response to a request whose body is not read."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-class BodyLimit(typing.Protocol):
-    """Decides which bodies are read, by the memory that they take."""
-
-    def reserve(self, size: int, *, total: int) -> bool:
-        """Reserve ``size`` more bytes of a body, ``total`` with these.
-
-        Return False if there is no room.
-        """
-
-    def refuse(self, headers: Headers) -> Refusal:
-        """Return the response to a request without room, by its headers."""
-
-    def release(self, size: int) -> None:
-        """Give back what was reserved for a request."""
-
-
 class ConnectionOwner(typing.Protocol):
     """The server as its connections use it."""
 
     clock: clock_module.Clock
     handler: RequestHandler
-    bodies: BodyLimit | None
+    memory: caller_memory.CallerMemory
     closing: bool
     hangups: hangup_watch.HangupWatch
     connections: 'connection_table.ConnectionTable[ServerConnection]'
@@ -161,9 +140,16 @@
         self._reading_paused = False
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_size = 0
-        self._reserved = 0
+        self._body = bytearray()
+        self._body_memory = caller_memory.Reservation(
+            budget=owner.memory.bodies
+        )
+        self._head_memory = caller_memory.Reservation(
+            budget=owner.memory.input
+        )
+        self._input_memory = caller_memory.Reservation(
+            budget=owner.memory.input
+        )
         self._task: asyncio.Task[None] | None = None
         self._awaits_reader = False
         self._closes_after_response = False
@@ -210,14 +196,13 @@
         more is read then, so that the caller waits, too.
         """
         self._input.put(data)
-        if self._task is not None or self._awaits_reader:
-            self._pause_reading()
-            self._owner.connections.note_ahead(self)
-            return
-        if not self._receiving:
-            self._receiving = True
-            self._start_timer(self._limits.header_timeout)
-        self._parse()
+        if self._task is None and not self._awaits_reader:
+            if not self._receiving:
+                self._receiving = True
+                self._start_timer(self._limits.header_timeout)
+            self._parse()
+        if self._is_open():
+            self._hold_input()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
@@ -230,11 +215,12 @@
         self._stop_timer()
         self._writable.set()
         self._transport = None
+        self._drop_input()
         if self._task is None:
-            self._drop_body()
+            self._drop_request()
             return
         # A task that is cancelled before its first step does nothing itself.
-        self._task.add_done_callback(lambda _: self._drop_body())
+        self._task.add_done_callback(lambda _: self._drop_request())
         self._task.cancel()
 
     def pause_writing(self) -> None:
@@ -284,53 +270,79 @@
         )
 
     def _on_head(self, head: h11.Request) -> None:
-        size = sum(len(n) + len(v) + 4 for n, v in head.headers)
-        if size + len(head.target) > self._limits.header_bytes:
+        headers = list(head.headers)
+        size = caller_memory.head_bytes(head.target, headers)
+        if size > self._limits.header_bytes:
             self._reject(431)
             return
         self._head = head
-        self._body = []
-        self._body_size = 0
+        self._body.clear()
         length = 0
-        for name, value in head.headers:
+        for name, value in headers:
             if name == b'content-length':
                 length = int(value)
         if length > self._limits.body_bytes:
             self._reject(413)
             return
         self._start_timer(self._limits.idle_timeout)
-        self._reserve(length)
+        taken = caller_memory.parsed_head_bytes(head.target, headers)
+        if not (
+            self._head_memory.resize(taken)
+            and self._body_memory.resize(length)
+        ):
+            self._refuse_unread(headers)
 
     def _on_body(self, data: bytes) -> None:
-        self._body.append(bytes(data))
-        self._body_size += len(data)
-        if self._body_size > self._limits.body_bytes:
+        self._body += data
+        size = len(self._body)
+        if size > self._limits.body_bytes:
             self._reject(413)
-        elif self._body_size > self._reserved:
-            self._reserve(self._body_size - self._reserved)
+        elif size > self._body_memory.size:
+            assert self._head is not None
+            if not self._body_memory.resize(size):
+                self._refuse_unread(list(self._head.headers))
 
-    def _reserve(self, size: int) -> None:
-        """Reserve memory for a body, or refuse the request unread."""
-        bodies = self._owner.bodies
-        head = self._head
-        if bodies is None or head is None or not size:
-            return
-        if bodies.reserve(size, total=self._reserved + size):
-            self._reserved += size
-            return
+    def _refuse_unread(self, headers: Headers) -> None:
+        """Refuse a request for which there is no memory."""
         self._stop_timer()
-        refusal = bodies.refuse(list(head.headers))
-        self._drop_body()
+        refusal = self._owner.memory.refuse(headers)
+        self._drop_request()
         self._send_whole_response(
             refusal.status, refusal.headers, refusal.body
         )
         self._close_unread()
 
-    def _drop_body(self) -> None:
-        self._body = []
-        if self._owner.bodies is not None:
-            self._owner.bodies.release(self._reserved)
-        self._reserved = 0
+    def _hold_input(self) -> None:
+        """Keep what came early, or an incomplete head, if there is room.
+
+        Nothing is read before it is used.  The connection is closed where
+        there is no room; a request in progress has its response first.
+        """
+        early = len(self._input)
+        incomplete = 0
+        if early:
+            self._pause_reading()
+            early += UNREAD_BYTES
+            self._owner.connections.note_ahead(self)
+        elif self._receiving and self._head is None:
+            incomplete = len(self._parser.trailing_data[0])
+        if self._input_memory.resize(early + incomplete):
+            return
+        self._drop_input()
+        if early:
+            self._closes_after_response = True
+        else:
+            self._refuse_unread([])
+
+    def _drop_request(self) -> None:
+        """Give back the memory of the request that has ended."""
+        self._body.clear()
+        self._body_memory.resize(0)
+        self._head_memory.resize(0)
+
+    def _drop_input(self) -> None:
+        self._input.clear()
+        self._input_memory.resize(0)
 
     def _close_unread(self) -> None:
         """Close a connection whose request is not read to its end.
@@ -360,17 +372,15 @@
             method=head.method,
             target=head.target,
             headers=list(head.headers),
-            body=b''.join(self._body),
+            body=bytes(self._body),
             received_at=self._owner.clock.now(),
             connection_reused=self._request_count > 0,
             remote_ip=self._remote_ip,
         )
-        self._body = []
+        self._body.clear()
         self.started = False
         self._request_count += 1
         self._owner.connections.begin_request(self)
-        if self._input:
-            self._owner.connections.note_ahead(self)
         self._task = self._loop.create_task(self._handle(request))
 
     async def _handle(self, request: Request) -> None:
@@ -386,7 +396,7 @@
             self._send_internal_error()
         finally:
             self._task = None
-            self._drop_body()
+            self._drop_request()
             self._owner.connections.end_request(self)
         self._next_request()
 
@@ -415,11 +425,13 @@
         self._receiving = bool(self._input or parser.trailing_data[0])
         self._start_timer(self._limits.idle_timeout)
         self._parse()
+        if self._is_open():
+            self._hold_input()
 
     def _reject(self, status: int) -> None:
         """Respond to an invalid request with ``status``, and close."""
         self._stop_timer()
-        self._drop_body()
+        self._drop_request()
         if not self.started:
             self._send_short_response(status)
         if self._transport is not None:
@@ -615,12 +627,12 @@
         handler: RequestHandler,
         clock: clock_module.Clock,
         limits: abc.Callable[[], plan.Limits],
+        memory: caller_memory.CallerMemory,
         max_connections: int,
-        bodies: BodyLimit | None = None,
     ) -> None:
-        """``bodies`` is None where all bodies are small."""
+        """Keep up to ``max_connections`` open."""
         self.handler = handler
-        self.bodies = bodies
+        self.memory = memory
         self.clock = clock
         self.limits = limits
         self.closing = False
--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -5,12 +5,12 @@
 import secrets
 import signal
 
-from aspenfold._internal.gateway import body_gate
 from aspenfold._internal.gateway import core as core_module
 from aspenfold._internal.gateway import exchange as exchange_module
 from aspenfold._internal.gateway import group_monitor
 from aspenfold._internal.gateway import header_names as header_names_module
 from aspenfold._internal.gateway import leadership as leadership_module
+from aspenfold._internal.gateway import memory_gate
 from aspenfold._internal.gateway import outage
 from aspenfold._internal.gateway import peer_discovery as peer_discovery_module
 from aspenfold._internal.gateway import peers as peers_module
@@ -147,10 +147,9 @@
         self.health_port = 0
         self.metrics_port = 0
         self.relay_port = 0
+        self._memory_gate = memory_gate.MemoryGate(core=self._core)
         self._caller_server = self._create_server(
-            self._handle_request,
-            body_gate.BodyGate(core=self._core),
-            CALLERS_RATIO,
+            self._handle_request, CALLERS_RATIO
         )
         self._health_server = self._create_server(self._send_health)
         self._metrics_server = self._create_server(self._send_metrics)
@@ -167,12 +166,11 @@
     def _create_server(
         self,
         handler: http1_server.RequestHandler,
-        bodies: http1_server.BodyLimit | None = None,
         sockets_ratio: float = INTERNAL_RATIO,
     ) -> http1_server.Server:
         return http1_server.Server(
             handler=handler,
-            bodies=bodies,
+            memory=self._memory_gate,
             max_connections=int(self._cfg.max_sockets * sockets_ratio),
             clock=self._clock,
             limits=lambda: self._core.limits,
--- a/src/aspenfold/_internal/processes/gateway_metrics.py
+++ b/src/aspenfold/_internal/processes/gateway_metrics.py
@@ -26,6 +26,7 @@
     add_gauge = core.metrics.add_gauge
     add_gauge('in_flight', in_flight)
     add_gauge('body_bytes', lambda: core.body_budget.held)
+    add_gauge('input_bytes', lambda: core.input_budget.held)
     add_gauge('response_bytes', lambda: core.response_budget.held)
     add_gauge('plan_version', lambda: core.plan_version)
     add_gauge('plan_age_seconds', lambda: _seconds(core.plan_age()))
--- a/src/aspenfold/_internal/processes/rank_agent.py
+++ b/src/aspenfold/_internal/processes/rank_agent.py
@@ -10,10 +10,12 @@
 import datetime
 import signal
 
+from aspenfold._internal.gateway import body_budget
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.gateway import ports
 from aspenfold._internal.gateway import settings
 from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.network import caller_memory
 from aspenfold._internal.network import http1_server
 from aspenfold._internal.network import port_errors
 from aspenfold._internal.observability import events
@@ -33,6 +35,20 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+class _RequestMemory:
+    """The memory of leaders' requests."""
+
+    def __init__(self, *, memory_bytes: int) -> None:
+        self.bodies: caller_memory.Budget = body_budget.for_memory(
+            memory_bytes
+        )
+        self.input: caller_memory.Budget = body_budget.for_input(memory_bytes)
+
+    def refuse(self, headers: caller_memory.Headers) -> caller_memory.Refusal:
+        """Return the response to a request without room."""
+        return caller_memory.Refusal(status=503, headers=[], body=b'')
+
+
 class RankAgent:
     """Forwards requests for one engine.
 
@@ -62,6 +78,7 @@
             handler=self._handle_request,
             clock=clock,
             limits=lambda: plan.DEFAULT_LIMITS,
+            memory=_RequestMemory(memory_bytes=cfg.memory_bytes),
             max_connections=int(cfg.max_sockets * LEADERS_RATIO),
         )
         self.forwarded = 0
--- a/src/aspenfold/platform/settings.py
+++ b/src/aspenfold/platform/settings.py
@@ -54,6 +54,11 @@
     memory_mb: float = pydantic.Field(default=300, gt=0)
     max_fds: int = pydantic.Field(default=1024, gt=FILE_DESCRIPTORS)
 
+    @property
+    def memory_bytes(self) -> int:
+        """The memory in bytes."""
+        return int(self.memory_mb * BYTES_PER_MB)
+
     @property
     def max_sockets(self) -> int:
         """Descriptors that are left for sockets."""
@@ -128,7 +133,7 @@
         grace_s=data.bounds.grace_s,
         retry_ratio=data.bounds.retry_budget_ratio,
         retry_slack=data.bounds.retry_budget_slack,
-        memory_bytes=int(data.limits.memory_mb * BYTES_PER_MB),
+        memory_bytes=data.limits.memory_bytes,
         max_sockets=data.limits.max_sockets,
     )
 
@@ -153,6 +158,7 @@
         availability_zone=data.zone,
         listen=settings.TcpAddress(host=data.ip, port=data.agent_port),
         engine=parse_address(data.app, 'app'),
+        memory_bytes=data.limits.memory_bytes,
         max_sockets=data.limits.max_sockets,
     )
 
--- a/tests/functional/test_gateway_memory.py
+++ b/tests/functional/test_gateway_memory.py
@@ -158,3 +158,24 @@
             assert budget.held == 0
 
     asyncio.run(run())
+
+
+def test_bodies_at_the_ready_path_count_too() -> None:
+    """Issue 48: only those at the callers' address did."""
+
+    async def scenario(rig: rigs.Rig) -> None:
+        port = rig.gateway.health_port
+        head = b'POST /api/ready HTTP/1.1\r\nHost: x\r\nContent-Length: %d'
+        head = head % LARGE_BYTES + b'\r\n\r\n'
+        _, writer = await asyncio.open_connection(rigs.LOOPBACK, port)
+        writer.write(head + b'x' * 1_000)
+        while not await held_bytes(rig):
+            await asyncio.sleep(0.01)
+        reader, other = await asyncio.open_connection(rigs.LOOPBACK, port)
+        other.write(head)
+        assert (await rigs.read_response(reader)).status == 503
+        other.close()
+        writer.close()
+        await wait_until_given_back(rig)
+
+    run_scenario(scenario)
--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -49,6 +49,7 @@
             engine=settings_module.TcpAddress(
                 host=rigs.LOOPBACK, port=rank.port
             ),
+            memory_bytes=rigs.MEMORY_BYTES,
             max_sockets=rigs.MAX_SOCKETS,
         ),
         engine=engine_module.EngineClient(),
--- a/tests/unit/test_http1_server.py
+++ b/tests/unit/test_http1_server.py
@@ -1,17 +1,32 @@
 """The HTTP/1.1 server, with a fake transport."""
 
 import asyncio
+import tracemalloc
 import typing
 
 import pytest
 
+from aspenfold._internal.gateway import body_budget
 from aspenfold._internal.gateway import plan
 from aspenfold._internal.kernel import clock
+from aspenfold._internal.network import caller_memory
 from aspenfold._internal.network import http1_server
 
 MAX_CONNECTIONS = 4
 
 
+class Memory:
+    """A little memory for what callers send."""
+
+    def __init__(self) -> None:
+        self.bodies = body_budget.BodyBudget(limit=2_000_000)
+        self.input = body_budget.BodyBudget(limit=500_000)
+
+    def refuse(self, headers: caller_memory.Headers) -> caller_memory.Refusal:
+        """Return a response with no text."""
+        return caller_memory.Refusal(status=503, headers=[], body=b'')
+
+
 class FakeTransport:
     """Records written bytes; fails on writes after ``lost`` is set."""
 
@@ -40,13 +55,16 @@
 
 
 def connect(
-    handler: http1_server.RequestHandler, transport: FakeTransport
+    handler: http1_server.RequestHandler,
+    transport: FakeTransport,
+    memory: Memory | None = None,
 ) -> http1_server.ServerConnection:
     """Return a connection of a server with the default limits."""
     server = http1_server.Server(
         handler=handler,
         clock=clock.MonotonicClock(),
         limits=lambda: plan.DEFAULT_LIMITS,
+        memory=memory or Memory(),
         max_connections=MAX_CONNECTIONS,
     )
     connection = http1_server.ServerConnection(owner=server)
@@ -146,6 +164,9 @@
         self.connection.resume_writing()
         return data
 
+    def write_eof(self) -> None:
+        """Ignore the end."""
+
     def pause_reading(self) -> None:
         """Note that the server reads no more."""
         assert self.reading
@@ -163,11 +184,11 @@
 
 
 def connect_unread(
-    handler: http1_server.RequestHandler,
+    handler: http1_server.RequestHandler, memory: Memory | None = None
 ) -> tuple[http1_server.ServerConnection, UnreadTransport]:
     """Return a connection whose caller reads nothing yet."""
     transport = UnreadTransport()
-    connection = connect(handler, transport)
+    connection = connect(handler, transport, memory)
     transport.connection = connection
     return connection, transport
 
@@ -232,3 +253,94 @@
         assert transport.reading
 
     asyncio.run(run())
+
+
+CALLERS = 40
+
+
+def test_what_all_callers_send_early_has_a_bound_together() -> None:
+    """Issue 48: it had one for each connection only."""
+    held = asyncio.Event()
+
+    async def handler(
+        request: http1_server.Request, response: http1_server.ResponseWriter
+    ) -> None:
+        await held.wait()
+        await respond(request, response)
+
+    async def run() -> None:
+        memory = Memory()
+        held.clear()
+        callers = [connect_unread(handler, memory) for _ in range(CALLERS)]
+        for connection, _ in callers:
+            connection.data_received(SHORT_GET)
+            connection.data_received(SHORT_GET * REQUESTS_AHEAD)
+        early = [len(connection._input) for connection, _ in callers]
+        assert sum(early) <= memory.input.held <= memory.input.limit
+        assert 0 < early.count(0) < CALLERS
+        held.set()
+        for (_, transport), kept in zip(callers, early, strict=True):
+            await run_ready_tasks()
+            response = transport.read()
+            assert response.count(b'HTTP/1.1 200')
+            assert kept or b'connection: close' in response
+            transport.close()
+        for connection, _ in callers:
+            connection.connection_lost(None)
+        await run_ready_tasks()
+        assert memory.input.held == memory.bodies.held == 0
+
+    asyncio.run(run())
+
+
+SHORT_HEADERS = 1_500
+
+
+def test_heads_of_many_short_headers_count_with_what_they_take() -> None:
+    """A head within its limit takes forty times its size once parsed."""
+
+    async def run() -> None:
+        memory = Memory()
+        taken = []
+        head = (
+            b'GET / HTTP/1.1\r\nHost: x\r\n'
+            + b'a:b\r\n' * SHORT_HEADERS
+            + b'\r\n'
+        )
+
+        async def handler(
+            request: http1_server.Request,
+            response: http1_server.ResponseWriter,
+        ) -> None:
+            taken.append(memory.input.held)
+            await asyncio.Event().wait()
+
+        for _ in range(2):
+            connection, transport = connect_unread(handler, memory)
+            connection.data_received(head)
+            await run_ready_tasks()
+        assert len(taken) == 1
+        assert taken[0] > SHORT_HEADERS * caller_memory.HEADER_BYTES / 2
+        assert transport.written.startswith(b'HTTP/1.1 503')
+
+    asyncio.run(run())
+
+
+def test_a_body_in_small_chunks_takes_no_more_than_its_size() -> None:
+    """Issue 48: each chunk was kept as an object of its own."""
+    size = 50_000
+
+    async def run() -> None:
+        connection, _ = connect_unread(respond)
+        connection.data_received(
+            b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        piece = b'2\r\nxx\r\n' * 1_000
+        tracemalloc.start()
+        for _ in range(size // 2_000):
+            connection.data_received(piece)
+        taken, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert taken < 2 * size
+
+    asyncio.run(run())
