Let other tasks run while callers' bytes are parsed

What callers saw: bodies inside all limits, in as many chunks as bytes, from a hundred connections held the loop for about ten seconds, in which nobody got a response, nor the platform one at the ready path.

Cause: what one read brought was parsed to its end, some ten microseconds for each chunk, and so for each connection in the same turn of the loop.

Change: all connections of a server share what is parsed in a turn, by heads' bytes and by events; the rest waits its turn, in order, and nothing more is read for it meanwhile. It counts as what came early, but for the part of a body whose memory is reserved.

--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -22,6 +22,7 @@
 from aspenfold._internal.network import connection_table
 from aspenfold._internal.network import hangup_watch
 from aspenfold._internal.network import input_buffer
+from aspenfold._internal.network import turn_budget
 from aspenfold._internal.observability import events
 
 MAX_UNSENT_BYTES = 65_536
@@ -122,6 +123,7 @@
     memory: caller_memory.CallerMemory
     closing: bool
     hangups: hangup_watch.HangupWatch
+    turns: turn_budget.TurnBudget
     connections: 'connection_table.ConnectionTable[ServerConnection]'
 
     def limits(self) -> plan.Limits:
@@ -152,6 +154,7 @@
         )
         self._task: asyncio.Task[None] | None = None
         self._awaits_reader = False
+        self._awaits_turn = False
         self._closes_after_response = False
         self._timer: asyncio.TimerHandle | None = None
         self._request_count = 0
@@ -196,7 +199,7 @@
         more is read then, so that the caller waits, too.
         """
         self._input.put(data)
-        if self._task is None and not self._awaits_reader:
+        if not (self._is_responding or self._awaits_turn):
             if not self._receiving:
                 self._receiving = True
                 self._start_timer(self._limits.header_timeout)
@@ -234,6 +237,11 @@
             self._awaits_reader = False
             self._next_request()
 
+    @property
+    def _is_responding(self) -> bool:
+        """Whether a response is due, or not sent yet."""
+        return self._task is not None or self._awaits_reader
+
     def _parse(self) -> None:
         try:
             self._parse_events()
@@ -242,7 +250,13 @@
 
     def _parse_events(self) -> None:
         while self._task is None and self._is_open():
+            if self._owner.turns.is_spent:
+                self._awaits_turn = True
+                self._pause_reading()
+                self._owner.turns.wait(self._parse_in_turn)
+                return
             event = self._parser.next_event()
+            self._owner.turns.spend(turn_budget.EVENT_COST)
             if event is h11.NEED_DATA:
                 piece = self._input.take(PARSED_AT_ONCE_BYTES)
                 if not piece:
@@ -260,6 +274,15 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._start_handler()
 
+    def _parse_in_turn(self) -> None:
+        """Go on with what was received, in a later turn of the loop."""
+        self._awaits_turn = False
+        if not self._is_open():
+            return
+        self._parse()
+        if self._is_open():
+            self._hold_input()
+
     def _is_open(self) -> bool:
         """Return whether nothing has closed the connection, as a refusal."""
         transport = self._transport
@@ -272,6 +295,7 @@
     def _on_head(self, head: h11.Request) -> None:
         headers = list(head.headers)
         size = caller_memory.head_bytes(head.target, headers)
+        self._owner.turns.spend(size)
         if size > self._limits.header_bytes:
             self._reject(431)
             return
@@ -322,17 +346,23 @@
         incomplete = 0
         if early:
             self._pause_reading()
-            early += UNREAD_BYTES
-            self._owner.connections.note_ahead(self)
         elif self._receiving and self._head is None:
             incomplete = len(self._parser.trailing_data[0])
+        if early and self._is_responding:
+            early += UNREAD_BYTES
+            if self._task is not None:
+                self._owner.connections.note_ahead(self)
+        else:
+            # The rest of a body has its memory already.
+            early -= min(early, self._body_memory.size - len(self._body))
         if self._input_memory.resize(early + incomplete):
             return
         self._drop_input()
-        if early:
+        if self._is_responding:
             self._closes_after_response = True
-        else:
-            self._refuse_unread([])
+            return
+        head = self._head
+        self._refuse_unread([] if head is None else list(head.headers))
 
     def _drop_request(self) -> None:
         """Give back the memory of the request that has ended."""
@@ -637,6 +667,7 @@
         self.limits = limits
         self.closing = False
         self.hangups = hangup_watch.HangupWatch()
+        self.turns = turn_budget.TurnBudget()
         self.connections: connection_table.ConnectionTable[
             ServerConnection
         ] = connection_table.ConnectionTable(limit=max_connections)
--- a/tests/unit/test_http1_server.py
+++ b/tests/unit/test_http1_server.py
@@ -11,16 +11,17 @@
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import caller_memory
 from aspenfold._internal.network import http1_server
+from aspenfold._internal.network import turn_budget
 
-MAX_CONNECTIONS = 4
+MAX_CONNECTIONS = 100
 
 
 class Memory:
-    """A little memory for what callers send."""
+    """The memory for what callers send."""
 
-    def __init__(self) -> None:
-        self.bodies = body_budget.BodyBudget(limit=2_000_000)
-        self.input = body_budget.BodyBudget(limit=500_000)
+    def __init__(self, *, input_bytes: int = 10_000_000) -> None:
+        self.bodies = body_budget.BodyBudget(limit=10_000_000)
+        self.input = body_budget.BodyBudget(limit=input_bytes)
 
     def refuse(self, headers: caller_memory.Headers) -> caller_memory.Refusal:
         """Return a response with no text."""
@@ -30,6 +31,8 @@
 class FakeTransport:
     """Records written bytes; fails on writes after ``lost`` is set."""
 
+    connection: http1_server.ServerConnection
+
     def __init__(self) -> None:
         self.written = b''
         self.lost = False
@@ -47,6 +50,12 @@
         """Mark the connection as lost."""
         self.lost = True
 
+    def pause_reading(self) -> None:
+        """Ignore it; tests pass all data themselves."""
+
+    def resume_reading(self) -> None:
+        """Ignore it."""
+
     def set_write_buffer_limits(self, high: int) -> None:
         """Ignore the limit."""
 
@@ -60,14 +69,28 @@
     memory: Memory | None = None,
 ) -> http1_server.ServerConnection:
     """Return a connection of a server with the default limits."""
-    server = http1_server.Server(
+    return connect_to(make_server(handler, memory or Memory()), transport)
+
+
+def make_server(
+    handler: http1_server.RequestHandler, memory: Memory
+) -> http1_server.Server:
+    """Return a server with the default limits."""
+    return http1_server.Server(
         handler=handler,
         clock=clock.MonotonicClock(),
         limits=lambda: plan.DEFAULT_LIMITS,
-        memory=memory or Memory(),
+        memory=memory,
         max_connections=MAX_CONNECTIONS,
     )
+
+
+def connect_to(
+    server: http1_server.Server, transport: FakeTransport
+) -> http1_server.ServerConnection:
+    """Return a new connection of a server."""
     connection = http1_server.ServerConnection(owner=server)
+    transport.connection = connection
     connection.connection_made(typing.cast(typing.Any, transport))
     return connection
 
@@ -140,7 +163,6 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.connection: http1_server.ServerConnection
         self.reading = True
         self._high = 0
 
@@ -188,9 +210,7 @@
 ) -> tuple[http1_server.ServerConnection, UnreadTransport]:
     """Return a connection whose caller reads nothing yet."""
     transport = UnreadTransport()
-    connection = connect(handler, transport, memory)
-    transport.connection = connection
-    return connection, transport
+    return connect(handler, transport, memory), transport
 
 
 async def respond(
@@ -256,6 +276,7 @@
 
 
 CALLERS = 40
+INPUT_BYTES = 500_000
 
 
 def test_what_all_callers_send_early_has_a_bound_together() -> None:
@@ -269,7 +290,7 @@
         await respond(request, response)
 
     async def run() -> None:
-        memory = Memory()
+        memory = Memory(input_bytes=INPUT_BYTES)
         held.clear()
         callers = [connect_unread(handler, memory) for _ in range(CALLERS)]
         for connection, _ in callers:
@@ -300,7 +321,7 @@
     """A head within its limit takes forty times its size once parsed."""
 
     async def run() -> None:
-        memory = Memory()
+        memory = Memory(input_bytes=INPUT_BYTES)
         taken = []
         head = (
             b'GET / HTTP/1.1\r\nHost: x\r\n'
@@ -344,3 +365,37 @@
         assert taken < 2 * size
 
     asyncio.run(run())
+
+
+BODIES = 20
+
+
+def test_bodies_in_small_chunks_leave_the_loop_to_others() -> None:
+    """Issue 48: a hundred callers held it for ten seconds."""
+
+    async def run() -> None:
+        memory = Memory()
+        server = make_server(respond, memory)
+        transports = [UnreadTransport() for _ in range(BODIES)]
+        connections = [connect_to(server, x) for x in transports]
+        chunks = b'1\r\nx\r\n' * 500
+        head = b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked'
+        for connection in connections:
+            connection.data_received(
+                head + b'\r\n\r\n' + chunks + b'0\r\n\r\n'
+            )
+        bytes_a_turn = []
+        received = 0
+        while any(not x.written for x in transports):
+            before = received
+            received = sum(len(x._body) for x in connections)
+            bytes_a_turn.append(max(0, received - before))
+            await asyncio.sleep(0)
+        assert (
+            max(bytes_a_turn)
+            <= 2 * turn_budget.LIMIT // turn_budget.EVENT_COST
+        )
+        for transport in transports:
+            assert transport.written.startswith(b'HTTP/1.1 200')
+
+    asyncio.run(run())
