Write the text of the metrics once for requests in quick succession

What callers saw: twenty clients that ask for the metrics, many times ahead, held the loop for over half a second a turn, so that others waited.

Cause: each request wrote the whole text anew, which takes tens of milliseconds.

Change: the text is at most 0.25 s old.

--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -147,6 +147,9 @@
         self.health_port = 0
         self.metrics_port = 0
         self.relay_port = 0
+        self._metrics_text = gateway_metrics.MetricsText(
+            metrics=self._core.metrics, clock=clock
+        )
         self._memory_gate = memory_gate.MemoryGate(core=self._core)
         self._caller_server = self._create_server(
             self._handle_request, CALLERS_RATIO
@@ -353,7 +356,7 @@
         request: http1_server.Request,
         response: http1_server.ResponseWriter,
     ) -> None:
-        body = self._core.metrics.text()
+        body = self._metrics_text.get()
         headers = [
             (b'content-type', b'text/plain; version=0.0.4'),
             (b'content-length', str(len(body)).encode()),
--- a/src/aspenfold/_internal/processes/gateway_metrics.py
+++ b/src/aspenfold/_internal/processes/gateway_metrics.py
@@ -8,11 +8,37 @@
 from aspenfold._internal.gateway import reader_selection as selection_module
 from aspenfold._internal.gateway import relay
 from aspenfold._internal.gateway import store_feeds as feeds_module
+from aspenfold._internal.kernel import clock as clock_module
+from aspenfold._internal.observability import metrics as metrics_module
+
+MAX_TEXT_AGE = datetime.timedelta(milliseconds=250)
+"""Writing the text takes tens of milliseconds, and anybody may ask."""
 
 UNKNOWN_AGE = -1.0
 """Exported as the age of data that was never read."""
 
 
+class MetricsText:
+    """The metrics as text, written anew after some time only."""
+
+    def __init__(
+        self, *, metrics: metrics_module.Metrics, clock: clock_module.Clock
+    ) -> None:
+        self._metrics = metrics
+        self._clock = clock
+        self._text = b''
+        self._written_at: datetime.datetime | None = None
+
+    def get(self) -> bytes:
+        """Return the text, at most ``MAX_TEXT_AGE`` old."""
+        now = self._clock.now()
+        last = self._written_at
+        if last is None or now - last >= MAX_TEXT_AGE:
+            self._text = self._metrics.text()
+            self._written_at = now
+        return self._text
+
+
 def register(
     *,
     core: core_module.Core,
