Bound what callers leave unread, and for how long

What callers saw: a gateway whose callers do not read large responses keeps them: each up to 4 MiB, without an end, as a connection that is closed waits until the caller has taken all; after ten seconds they counted for nothing.

Cause: the budget of buffered responses gives up a response whose caller is slow, so that it holds up no others, and nothing else had a bound over all. Nothing ended a connection that is not read, but for the system's timeout.

Change: what is unsent when a response has ended, or when a connection closes, counts against the budget of input; a connection without room is reset at once, and one whose caller takes nothing for ten seconds then, with event 208. A caller that reads slowly, but goes on, keeps its connection. Writing pauses at 16 KiB in place of 64, since streams in progress may be many.

One that takes 600 bytes at a time gets its response whole.

--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -22,18 +22,13 @@
 from aspenfold._internal.network import connection_table
 from aspenfold._internal.network import hangup_watch
 from aspenfold._internal.network import input_buffer
+from aspenfold._internal.network import reader_watch
 from aspenfold._internal.network import turn_budget
 from aspenfold._internal.observability import events
 
-MAX_UNSENT_BYTES = 65_536
+MAX_UNSENT_BYTES = 16_384
 """Writing a response pauses while more bytes wait to be sent."""
 
-SLOW_READER_TIMEOUT = datetime.timedelta(seconds=10)
-"""A caller that does not read for longer counts as disconnected.
-
-Longer than callers wait for a response.
-"""
-
 PARSED_AT_ONCE_BYTES = 8_192
 """Size of the pieces in which received bytes get to the parser."""
 
@@ -141,6 +136,7 @@
         self._input = input_buffer.InputBuffer()
         self._reading_paused = False
         self._transport: asyncio.Transport | None = None
+        self._reader: reader_watch.ReaderWatch | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._body_memory = caller_memory.Reservation(
@@ -187,6 +183,11 @@
         peer = transport.get_extra_info('peername')
         if peer is not None:
             self._remote_ip = peer[0]
+        self._reader = reader_watch.ReaderWatch(
+            transport=self._transport,
+            budget=self._owner.memory.input,
+            remote_ip=self._remote_ip,
+        )
         self._start_timer(self._limits.idle_timeout)
         surplus = self._owner.connections.add(self)
         if surplus is not None:
@@ -216,6 +217,8 @@
         self._owner.connections.remove(self)
         self._watch_hangup(False)
         self._stop_timer()
+        if self._reader is not None:
+            self._reader.stop()
         self._writable.set()
         self._transport = None
         self._drop_input()
@@ -386,9 +389,7 @@
         self._pause_reading()
         transport.write_eof()
         self._refused = True
-        self._loop.call_later(
-            UNREAD_CLOSE_DELAY.total_seconds(), transport.close
-        )
+        self._loop.call_later(UNREAD_CLOSE_DELAY.total_seconds(), self._close)
 
     def _send_continue_if_expected(self) -> None:
         if self._parser.they_are_waiting_for_100_continue:
@@ -440,6 +441,10 @@
         """Go on once the caller has most of the last response."""
         if self._transport is None or not self._is_open():
             return
+        if self._reader is not None:
+            self._reader.start()
+        if not self._is_open():
+            return
         if not self._writable.is_set():
             self._awaits_reader = True
             return
@@ -447,7 +452,7 @@
         if self._closes_after_response or not (
             parser.our_state is h11.DONE and parser.their_state is h11.DONE
         ):
-            self._transport.close()
+            self._close()
             return
         parser.start_next_cycle()
         self._head = None
@@ -464,8 +469,7 @@
         self._drop_request()
         if not self.started:
             self._send_short_response(status)
-        if self._transport is not None:
-            self._transport.close()
+        self._close()
 
     def _send_short_response(self, status: int) -> None:
         phrase = http.HTTPStatus(status).phrase.encode()
@@ -489,6 +493,14 @@
             # h11 accepts no response in this state.
             self.abort()
 
+    def _close(self) -> None:
+        """Close the connection once the caller has what is unsent."""
+        if self._transport is None:
+            return
+        self._transport.close()
+        if self._reader is not None:
+            self._reader.start()
+
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._reading_paused:
             self._reading_paused = True
@@ -528,8 +540,8 @@
     def _on_timeout(self) -> None:
         if self._receiving:
             self._reject(408)
-        elif self._transport is not None:
-            self._transport.close()
+        else:
+            self._close()
 
     def start(self, status: int, headers: Headers) -> None:
         """Send the head.
@@ -580,8 +592,7 @@
 
         If an orderly close would complete it, the connection is reset.
         """
-        if self._transport is not None:
-            self._transport.close()
+        self._close()
 
     async def drain(self) -> None:
         """Wait while the write buffer is over its limit.
@@ -591,7 +602,9 @@
         if self._writable.is_set():
             return
         try:
-            async with asyncio.timeout(SLOW_READER_TIMEOUT.total_seconds()):
+            async with asyncio.timeout(
+                reader_watch.STALL_TIMEOUT.total_seconds()
+            ):
                 await self._writable.wait()
         except TimeoutError:
             raise CallerDisconnected from None
@@ -636,12 +649,12 @@
         if transport.get_write_buffer_size() > 0:
             transport.abort()
         else:
-            transport.close()
+            self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
-        if self.idle and self._transport is not None:
-            self._transport.close()
+        if self.idle:
+            self._close()
 
 
 class Server:
--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -31,6 +31,7 @@
     PROMPT_PARTS_INVALID = 205
     CALLER_SLOW = 206
     CONNECTION_CLOSED = 207
+    READER_CUT = 208
     ATTEMPT_OPENED = 300
     ATTEMPT_LOST = 301
     ATTEMPT_STARTED = 302
@@ -105,6 +106,8 @@
     'its memory is not counted any more',
     Event.CONNECTION_CLOSED: "a caller's connection without a request in "
     'progress was closed to make room for another one',
+    Event.READER_CUT: 'a connection was reset, as its caller left too much '
+    'of its responses unread',
     Event.ATTEMPT_OPENED: 'an attempt was sent to an agent or endpoint',
     Event.ATTEMPT_LOST: 'an attempt ended without a complete answer',
     Event.ATTEMPT_STARTED: 'an agent sent an attempt to its endpoint',
--- a/tests/unit/test_http1_server.py
+++ b/tests/unit/test_http1_server.py
@@ -1,6 +1,7 @@
 """The HTTP/1.1 server, with a fake transport."""
 
 import asyncio
+import datetime
 import tracemalloc
 import typing
 
@@ -11,6 +12,7 @@
 from aspenfold._internal.kernel import clock
 from aspenfold._internal.network import caller_memory
 from aspenfold._internal.network import http1_server
+from aspenfold._internal.network import reader_watch
 from aspenfold._internal.network import turn_budget
 
 MAX_CONNECTIONS = 100
@@ -50,6 +52,15 @@
         """Mark the connection as lost."""
         self.lost = True
 
+    def get_write_buffer_size(self) -> int:
+        """Return that all is sent."""
+        return 0
+
+    def abort(self) -> None:
+        """Close the connection, as if its end were known at once."""
+        self.lost = True
+        self.connection.connection_lost(None)
+
     def pause_reading(self) -> None:
         """Ignore it; tests pass all data themselves."""
 
@@ -336,13 +347,13 @@
             taken.append(memory.input.held)
             await asyncio.Event().wait()
 
-        for _ in range(2):
-            connection, transport = connect_unread(handler, memory)
+        callers = [connect_unread(handler, memory) for _ in range(2)]
+        for connection, _ in callers:
             connection.data_received(head)
             await run_ready_tasks()
         assert len(taken) == 1
         assert taken[0] > SHORT_HEADERS * caller_memory.HEADER_BYTES / 2
-        assert transport.written.startswith(b'HTTP/1.1 503')
+        assert callers[1][1].written.startswith(b'HTTP/1.1 503')
 
     asyncio.run(run())
 
@@ -399,3 +410,78 @@
             assert transport.written.startswith(b'HTTP/1.1 200')
 
     asyncio.run(run())
+
+
+LARGE_RESPONSE_BYTES = 60_000
+
+
+async def respond_largely(
+    request: http1_server.Request, response: http1_server.ResponseWriter
+) -> None:
+    """Respond at once with more than is sent to a slow reader."""
+    response.start(200, [(b'content-length', b'%d' % LARGE_RESPONSE_BYTES)])
+    response.write(b'x' * LARGE_RESPONSE_BYTES)
+    response.end()
+
+
+def test_what_all_callers_leave_unread_has_a_bound_together() -> None:
+    """Issue 48: large responses stayed for callers that never read them."""
+
+    async def run() -> None:
+        memory = Memory(input_bytes=INPUT_BYTES)
+        callers = [
+            connect_unread(respond_largely, memory) for _ in range(CALLERS)
+        ]
+        for connection, _ in callers:
+            connection.data_received(SHORT_GET)
+            await run_ready_tasks()
+        unsent = [len(x.written) for _, x in callers if not x.lost]
+        assert 0 < sum(unsent) <= memory.input.held <= INPUT_BYTES
+        assert all(size > LARGE_RESPONSE_BYTES for size in unsent)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('request_count', [1, 2])
+def test_a_connection_that_is_never_read_ends(
+    request_count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Whether or not more requests wait, and also once it is closed."""
+    moment = datetime.timedelta(milliseconds=5)
+    monkeypatch.setattr(reader_watch, 'CHECK_INTERVAL', moment)
+    monkeypatch.setattr(reader_watch, 'STALL_TIMEOUT', 4 * moment)
+
+    async def run() -> None:
+        memory = Memory()
+        connection, transport = connect_unread(respond_largely, memory)
+        connection.data_received(SHORT_GET * request_count)
+        async with asyncio.timeout(5):
+            while not transport.lost:
+                await asyncio.sleep(0.001)
+        await run_ready_tasks()
+        assert memory.input.held == 0
+
+    asyncio.run(run())
+
+
+def test_a_slow_reader_that_goes_on_keeps_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It has its response whole, however long that takes."""
+    moment = datetime.timedelta(milliseconds=25)
+    monkeypatch.setattr(reader_watch, 'CHECK_INTERVAL', moment)
+    monkeypatch.setattr(reader_watch, 'STALL_TIMEOUT', 80 * moment)
+
+    async def run() -> None:
+        connection, transport = connect_unread(respond_largely)
+        connection.data_received(SHORT_GET)
+        await run_ready_tasks()
+        received = b''
+        while transport.written:
+            received += transport.written[:600]
+            transport.written = transport.written[600:]
+            await asyncio.sleep(moment.total_seconds())
+        assert not transport.lost
+        assert received.endswith(b'x' * LARGE_RESPONSE_BYTES)
+
+    asyncio.run(run())
