--- a/tests/functional/test_client_crowds.py
+++ b/tests/functional/test_client_crowds.py
@@ -6,11 +6,17 @@
 
 import asyncio
 import dataclasses
+import json
 import pathlib
+import signal
+import typing
 
 from aspenfold_standins import platform_worker as workers
 import pytest
 
+from aspenfold._internal.commands import exit_status
+from aspenfold._internal.observability import events
+from aspenfold.platform import settings
 from aspenfold_standins import launcher
 from tests.lib import crowds
 from tests.lib import deployment_client
@@ -37,15 +43,18 @@
     """What each client of a crowd sends, and to which address."""
 
     request: bytes
-    at_health_port: bool = False
+    server: str = 'callers'
     clients: int = CLIENTS
     total_bytes: int = CROWD_BYTES
 
     def port(self, program: programs.Program) -> int:
         """Return the port to which the crowd connects."""
-        if self.at_health_port:
-            return program.health_port
-        return program.callers_port
+        return {
+            'callers': program.callers_port,
+            'health': program.health_port,
+            'metrics': settings.METRICS_PORT,
+            'peers': program.peer_port,
+        }[self.server]
 
 
 def get(path: str, host: str = rigs.HOST) -> bytes:
@@ -53,11 +62,24 @@
     return f'GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n'.encode()
 
 
+def with_key(method: str) -> bytes:
+    """Return a sound request, which an endpoint serves."""
+    return (
+        f'{method} /safe/ HTTP/1.1\r\nHost: {rigs.HOST}\r\n'
+        f'Authorization: Bearer {rigs.KEY}\r\n'
+        'X-Aspenfold-Attempt-Id: a-1\r\n\r\n'
+    ).encode()
+
+
 CROWDS = {
     'without the usual headers': Crowd(request=get('/safe/')),
     'without headers, at an open route': Crowd(request=get('/open/')),
-    'at the ready path': Crowd(request=get('/api/ready'), at_health_port=True),
+    'at the ready path': Crowd(request=get('/api/ready'), server='health'),
     'at paths without a route': Crowd(request=get('/nowhere/')),
+    'with a key': Crowd(request=with_key('GET')),
+    'with a key, for the head only': Crowd(request=with_key('HEAD')),
+    'at the metrics': Crowd(request=get('/metrics'), server='metrics'),
+    "at the peers' port": Crowd(request=get('/news'), server='peers'),
 }
 
 
@@ -106,18 +128,63 @@
     asyncio.run(run_crowd(CROWDS[name], tmp_path))
 
 
+async def stop_beside_crowd(
+    directory: pathlib.Path, log: typing.IO[bytes]
+) -> int:
+    """Reload and stop a gateway with a crowd; return its exit status.
+
+    A stream is in progress, and must arrive whole.
+    """
+    limits = {'memory_mb': MEMORY_MB, 'max_fds': MAX_DESCRIPTORS}
+    async with (
+        programs.running_program(
+            directory, workers.stream_events, limits, log
+        ) as program,
+        crowds.waiting_crowd(
+            program.callers_port,
+            get('/nowhere/'),
+            clients=CLIENTS,
+            total_bytes=CROWD_BYTES,
+        ),
+    ):
+        program.process.send_signal(signal.SIGHUP)
+        reader, writer = await asyncio.open_connection(
+            programs.ADDRESS, program.callers_port
+        )
+        writer.write(program.rig.request_head('/stream/')[1])
+        await rigs.wait_until(lambda: program.worker.executions)
+        program.process.send_signal(signal.SIGTERM)
+        response = await rigs.read_response(reader)
+        assert response.status == 200
+        assert response.complete
+        writer.close()
+        return await program.process.wait()
+
+
+def test_a_crowd_holds_up_no_signal(tmp_path: pathlib.Path) -> None:
+    """SIGHUP and SIGTERM come through, and the drain ends."""
+    path = tmp_path / 'gateway.log'
+    with path.open('wb') as log:
+        status = asyncio.run(stop_beside_crowd(tmp_path, log))
+    assert status == exit_status.ExitStatus.OK
+    lines = path.read_text().splitlines()
+    logged = [json.loads(line)['event'] for line in lines]
+    assert events.Event.RELOADED in logged
+    assert events.Event.STOPPED in logged
+
+
 IDLE_CLIENTS = 400
 """More than the gateway can have descriptors."""
 
 
-@pytest.mark.parametrize('at_health_port', [False, True])
+@pytest.mark.parametrize('server', ['callers', 'health'])
 def test_a_crowd_without_requests_leaves_descriptors_for_others(
-    at_health_port: bool, tmp_path: pathlib.Path
+    server: str, tmp_path: pathlib.Path
 ) -> None:
     """Issue 48: the gateway accepted connections until none was left."""
     crowd = Crowd(
         request=get('/safe/'),
-        at_health_port=at_health_port,
+        server=server,
         clients=IDLE_CLIENTS,
         total_bytes=0,
     )
--- a/tests/lib/gateway_rig.py
+++ b/tests/lib/gateway_rig.py
@@ -218,6 +218,22 @@
         return await asyncio.open_connection(LOOPBACK, self.gateway.port)
 
 
+async def read_next_response(reader: asyncio.StreamReader) -> Response:
+    """Read a response with a length, and nothing of what follows it."""
+    async with asyncio.timeout(TIMEOUT_S):
+        head = await reader.readuntil(b'\r\n\r\n')
+        status, *lines = head.decode().split('\r\n')[:-2]
+        pairs = [line.split(':', 1) for line in lines]
+        headers = {name.lower(): value.strip() for name, value in pairs}
+        body = await reader.readexactly(int(headers['content-length']))
+    return Response(
+        status=int(status.split()[1]),
+        headers=headers,
+        body=body,
+        complete=True,
+    )
+
+
 async def read_response(reader: asyncio.StreamReader) -> Response:
     """Read one response until it is complete or the connection ends."""
     parser = h11.Connection(h11.CLIENT)
