--- a/src/aspenfold/_internal/exceptions.py
+++ b/src/aspenfold/_internal/exceptions.py
@@ -100,8 +100,8 @@
     'while; retry after `Retry-After`',
     Code.QUARANTINED: 'endpoints ended under requests like this one; it was '
     'not sent to another',
-    Code.NO_MEMORY: 'the gateway has no memory left for the body of the '
-    'request; retry on another connection',
+    Code.NO_MEMORY: 'the gateway has no memory left for the head or body of '
+    'the request; retry on another connection',
     Code.CONDITION_NOT_MET: 'no endpoint that was asked has the weights that '
     'the request expects',
     Code.NO_ENDPOINT: 'no endpoint of the service accepts requests',
--- a/src/aspenfold/_internal/network/turn_budget.py
+++ b/src/aspenfold/_internal/network/turn_budget.py
@@ -4,8 +4,9 @@
 import collections
 from collections import abc
 
-LIMIT = 32_768
-"""Cost of one turn: some sixty ordinary heads, or two of the largest."""
+LIMIT = 65_536
+"""Cost of one turn: some fifty ordinary requests, or four of the largest
+heads, which take tens of milliseconds."""
 
 EVENT_COST = 256
 """Cost of what the parser finds beside heads, as a chunk of a body.  A head
