--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -15,6 +15,7 @@
 from tests.soak import crashes
 from tests.soak import faults
 from tests.soak import guarantees
+from tests.soak import ill_behaved
 from tests.soak import rate_limits
 from tests.soak import soak_history
 from tests.soak import statements
@@ -89,6 +90,9 @@
         history=history,
         rng=random.Random(f'{seed} response ends'),
     )
+    ill_behaved_clients = ill_behaved.IllBehavedClients(
+        system=system, rng=random.Random(f'{seed} ill-behaved clients')
+    )
     down: list[system_under_test.Endpoint] = []
     crash_injectors = [
         crashes.CrashInjector(
@@ -133,6 +137,7 @@
                 limits,
                 injected_statements,
                 breaker,
+                ill_behaved_clients,
                 *crash_injectors,
             ]
         ]
