List slow heads that keep the entry's threads as known

A deadline for heads alone would leave the same by bodies and by slow readers; the test lands as it should hold.

--- a/tests/functional/test_client_crowds.py
+++ b/tests/functional/test_client_crowds.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import pathlib
 import signal
+import socket
 import typing
 
 from aspenfold_standins import platform_worker as workers
@@ -230,3 +232,55 @@
         check()
 
     asyncio.run(run())
+
+
+SLOW_CLIENTS = 80
+"""More than the entry has threads."""
+
+DRIP_INTERVAL_S = 2.0
+ANSWER_TIMEOUT_S = 15.0
+"""Longer than the entry waits for a client that sends nothing."""
+
+
+async def drip(socks: list[socket.socket]) -> None:
+    """Send a byte of a head on each connection now and then."""
+    loop = asyncio.get_running_loop()
+    while True:
+        for sock in socks:
+            with contextlib.suppress(ConnectionError):
+                await loop.sock_sendall(sock, b's')
+        await asyncio.sleep(DRIP_INTERVAL_S)
+
+
+def test_slow_heads_leave_the_entry_to_others(
+    deployment: launcher.Deployment,
+) -> None:
+    """Issue 48: each kept a thread for as long as it liked."""
+    entry = deployment.processes[deployment.entry_names()[0]]
+    request = ENTRY_CROWDS['at the ready path']
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.ExitStack() as open_sockets:
+            socks = []
+            for _ in range(SLOW_CLIENTS):
+                sock = await programs.connect_slowly(
+                    entry.port, launcher.LOOPBACK
+                )
+                socks.append(open_sockets.enter_context(sock))
+                await loop.sock_sendall(sock, request[:-8])
+            dripping = asyncio.ensure_future(drip(socks))
+            await asyncio.sleep(DRIP_INTERVAL_S)
+            reader, writer = await asyncio.open_connection(
+                launcher.LOOPBACK, entry.port
+            )
+            writer.write(request)
+            try:
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    status = await reader.readline()
+            finally:
+                dripping.cancel()
+                writer.close()
+            assert status.split()[1] == b'200'
+
+    asyncio.run(run())
