--- a/src/aspenfold/_internal/processes/gateway.py
+++ b/src/aspenfold/_internal/processes/gateway.py
@@ -148,7 +148,7 @@
         self.metrics_port = 0
         self.relay_port = 0
         self._metrics_text = gateway_metrics.MetricsText(
-            metrics=self._core.metrics, clock=clock
+            metrics=self._core.metrics
         )
         self._memory_gate = memory_gate.MemoryGate(core=self._core)
         self._caller_server = self._create_server(
--- a/src/aspenfold/_internal/processes/gateway_metrics.py
+++ b/src/aspenfold/_internal/processes/gateway_metrics.py
@@ -1,5 +1,6 @@
 """The gauges of a gateway; see docs/OPERATIONS.md."""
 
+import asyncio
 import datetime
 import typing
 
@@ -8,36 +9,32 @@
 from aspenfold._internal.gateway import reader_selection as selection_module
 from aspenfold._internal.gateway import relay
 from aspenfold._internal.gateway import store_feeds as feeds_module
-from aspenfold._internal.kernel import clock as clock_module
 from aspenfold._internal.observability import metrics as metrics_module
 
-MAX_TEXT_AGE = datetime.timedelta(milliseconds=250)
-"""Writing the text takes tens of milliseconds, and anybody may ask."""
-
 UNKNOWN_AGE = -1.0
 """Exported as the age of data that was never read."""
 
 
 class MetricsText:
-    """The metrics as text, written anew after some time only."""
+    """The metrics as text, written once in a turn of the loop at most.
+
+    Writing it takes tens of milliseconds, and anybody may ask.
+    """
 
-    def __init__(
-        self, *, metrics: metrics_module.Metrics, clock: clock_module.Clock
-    ) -> None:
+    def __init__(self, *, metrics: metrics_module.Metrics) -> None:
         self._metrics = metrics
-        self._clock = clock
-        self._text = b''
-        self._written_at: datetime.datetime | None = None
+        self._text: bytes | None = None
 
     def get(self) -> bytes:
-        """Return the text, at most ``MAX_TEXT_AGE`` old."""
-        now = self._clock.now()
-        last = self._written_at
-        if last is None or now - last >= MAX_TEXT_AGE:
+        """Return the text as it is in this turn."""
+        if self._text is None:
             self._text = self._metrics.text()
-            self._written_at = now
+            asyncio.get_running_loop().call_soon(self._expire)
         return self._text
 
+    def _expire(self) -> None:
+        self._text = None
+
 
 def register(
     *,
