Wait for both endpoints in a test of groups

Cause: the test waited until the gateway was ready, which takes one endpoint, and looked for the second at once. A gateway listens sooner now, as it looks up no names, so that this failed 4 of 4 times; it passed before by timing. Its assertions are unchanged.

--- a/tests/functional/test_gateway_groups.py
+++ b/tests/functional/test_gateway_groups.py
@@ -167,7 +167,7 @@
                 'w-1', workers.group_unavailable, 'model'
             )
             await rig.add_worker('w-2', workers.stream_events, 'model')
-            await rig.wait_until_ready()
+            await rigs.wait_until(lambda: rig.gateway.endpoints == 2)
             known = rig.gateway._core.directory
             for name, group in (('w-1', 'g-1'), ('w-2', 'g-2')):
                 endpoint = known.get(name)
