--- a/src/aspenfold/_internal/gateway/response_receiver.py
+++ b/src/aspenfold/_internal/gateway/response_receiver.py
@@ -64,7 +64,6 @@
         ``splitter`` is None unless the body is an event stream.
         """
         body = bytearray()
-        copied = 0
         hold = self._core.response_budget.open()
         self._call.replace_hold(hold)
         try:
@@ -76,10 +75,6 @@
                     return outcome.AttemptResult.LOST
                 if splitter is not None:
                     splitter.feed(data)
-                    # An event without an end is in memory twice.
-                    growth = max(0, splitter.unfinished_size - copied)
-                    await hold.grow(growth)
-                    copied += growth
         finally:
             end = self._record_end(splitter)
         if end is None or not end.is_whole:
--- a/src/aspenfold/_internal/network/event_splitter.py
+++ b/src/aspenfold/_internal/network/event_splitter.py
@@ -38,11 +38,6 @@
         """The bytes behind the last whole event."""
         return bytes(self._unfinished)
 
-    @property
-    def unfinished_size(self) -> int:
-        """The number of bytes behind the last whole event."""
-        return len(self._unfinished)
-
     @property
     def is_oversized(self) -> bool:
         """Whether the unfinished bytes exceed MAX_EVENT_BYTES."""
