--- a/src/aspenfold/_internal/network/http1_server.py
+++ b/src/aspenfold/_internal/network/http1_server.py
@@ -317,21 +317,22 @@
             self._head_memory.resize(taken)
             and self._body_memory.resize(length)
         ):
-            self._refuse_unread(headers)
+            self._refuse_unread()
 
     def _on_body(self, data: bytes) -> None:
         self._body += data
         size = len(self._body)
         if size > self._limits.body_bytes:
             self._reject(413)
-        elif size > self._body_memory.size:
-            assert self._head is not None
-            if not self._body_memory.resize(size):
-                self._refuse_unread(list(self._head.headers))
+        elif size > self._body_memory.size and not self._body_memory.resize(
+            size
+        ):
+            self._refuse_unread()
 
-    def _refuse_unread(self, headers: Headers) -> None:
+    def _refuse_unread(self) -> None:
         """Refuse a request for which there is no memory."""
         self._stop_timer()
+        headers = [] if self._head is None else list(self._head.headers)
         refusal = self._owner.memory.refuse(headers)
         self._drop_request()
         self._send_whole_response(
@@ -364,8 +365,7 @@
         if self._is_responding:
             self._closes_after_response = True
             return
-        head = self._head
-        self._refuse_unread([] if head is None else list(head.headers))
+        self._refuse_unread()
 
     def _drop_request(self) -> None:
         """Give back the memory of the request that has ended."""
