--- a/src/aspenfold/_internal/observability/events.py
+++ b/src/aspenfold/_internal/observability/events.py
@@ -105,7 +105,7 @@
     Event.CALLER_SLOW: 'a caller takes long to read a response, or has left; '
     'its memory is not counted any more',
     Event.CONNECTION_CLOSED: "a caller's connection without a request in "
-    'progress was closed to make room for another one',
+    'progress, or with more sent ahead, gave way to another one',
     Event.READER_CUT: 'a connection was reset, as its caller left too much '
     'of its responses unread',
     Event.ATTEMPT_OPENED: 'an attempt was sent to an agent or endpoint',
